--- a/balsamspring/base/log.cc
+++ b/balsamspring/base/log.cc
@@ -12,6 +12,8 @@
 namespace {
 
 std::atomic<log_level> minimumLevel { log_level::Info };
+// Set before threads that log are started.
+log_writer writer;
 
 std::string_view levelName(log_level level)
 {
@@ -70,11 +72,20 @@
     if (level < minimumLevel.load(std::memory_order_relaxed))
         return;
     const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    const auto sinceEpoch = now.time_since_epoch().count();
+    std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n",
+        fmt::gmtime(std::chrono::system_clock::to_time_t(now)), sinceEpoch % 1000, formatLogLine(level, event, fields));
+    if (writer) {
+        writer(level, std::move(line));
+        return;
+    }
     // One call per line, so that lines of several threads do not mix.
-    fmt::print(stderr, "time={:%Y-%m-%dT%H:%M:%S}Z {}\n", fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-        formatLogLine(level, event, fields));
+    std::fwrite(line.data(), 1, line.size(), stdout);
+    std::fflush(stdout);
 }
 
+void setLogWriter(log_writer newWriter) { writer = std::move(newWriter); }
+
 void setMinimumLogLevel(log_level level) { minimumLevel.store(level, std::memory_order_relaxed); }
 
 } // namespace balsamspring
--- a/balsamspring/base/log.h
+++ b/balsamspring/base/log.h
@@ -1,9 +1,10 @@
-// Structured log lines on standard error: `level=warn event=backend_ejected backend=e3 reason=slow`.
+// Structured log lines on standard output: `level=warn event=backend_ejected backend=e3 reason=slow`.
 //
 //     logLine(log_level::Warn, "backend_ejected", { { "backend", id.value() }, { "reason", "slow" } });
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -21,6 +22,10 @@
 // Writes one line with a UTC time stamp. Thread safe; lines below the minimum level are dropped.
 void logLine(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
+// Where lines go, each with its end. Default: standard output, at once.
+using log_writer = std::function<void(log_level, std::string line)>;
+void setLogWriter(log_writer writer);
+
 // Default: Info.
 void setMinimumLogLevel(log_level level);
 
--- a/balsamspring/execution/execution_test.cc
+++ b/balsamspring/execution/execution_test.cc
@@ -1,6 +1,6 @@
-#include "balsamspring/execution/crash_quarantine.h"
 #include "balsamspring/execution/pipeline_run.h"
 #include "balsamspring/execution/resume_token.h"
+#include "balsamspring/gateway/crash_quarantine.h"
 #include "balsamspring/schema/config.pb.h"
 
 #include <catch2/catch.hpp>
--- a/balsamspring/execution/crash_quarantine.cc
+++ b/balsamspring/gateway/crash_quarantine.cc
@@ -1,4 +1,4 @@
-#include "balsamspring/execution/crash_quarantine.h"
+#include "balsamspring/gateway/crash_quarantine.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/balsamspring/gateway/gateway.cc
@@ -0,0 +1,416 @@
+#include "balsamspring/gateway/gateway.h"
+
+#include "balsamspring/gateway/topic_follower.h"
+
+#include <charconv>
+#include <set>
+
+#include <fmt/core.h>
+
+namespace balsamspring {
+
+namespace {
+
+constexpr std::string_view suspectTopic = "keyed.balsamspring-suspects";
+constexpr std::string_view quarantinedValue = "quarantined";
+constexpr std::string_view suspectValue = "suspect";
+constexpr std::uint16_t noPort = 0;
+
+std::string fingerprintText(fingerprint content) { return fmt::format("{:016x}", content.value()); }
+
+std::optional<fingerprint> parseFingerprint(const std::string& text)
+{
+    std::uint64_t value = 0;
+    constexpr int hexadecimal = 16;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value, hexadecimal);
+    if (failure != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return fingerprint(value);
+}
+
+http_head plainHead(unsigned status)
+{
+    http_head head;
+    head.status = status;
+    head.reason = status == 200 ? "OK" : "Unavailable";
+    return head;
+}
+
+config_state_options configOptions(const gateway_settings& settings, const gateway_options& options)
+{
+    return { .keyTrust = settings.revocationLimit - options.revocationMargin,
+        .strictRevocation = settings.strictRevocation };
+}
+
+repeat_budget_options budgetOptions(const gateway_settings& settings)
+{
+    repeat_budget_options options;
+    options.ratio = settings.repeatRatio;
+    options.window = settings.repeatWindow;
+    options.slack = settings.repeatSlack;
+    return options;
+}
+
+} // namespace
+
+struct gateway::state {
+    state(event_loop& owner, gateway_settings given, const wire_adapter& wire, const record_decoders& recordDecoders,
+        const record_store& records, std::uint64_t seed, gateway_options tuned)
+        : loop(owner)
+        , settings(std::move(given))
+        , decoders(recordDecoders)
+        , store(records)
+        , options(tuned)
+        , random(seed)
+        , config(configOptions(settings, options))
+        , servers({}, [this](const server_entry& server, server_change change) { serverChanged(server, change); })
+        , balancer({}, settings.zone, random)
+        , repeats(budgetOptions(settings))
+        , quarantine({})
+        , backends(loop, {})
+        , pieces({}, { loop, wire, servers, repeats, backends, metrics })
+        , context { loop, wire, settings.zone, config, servers, balancer, repeats, quarantine, backends, pieces,
+            metrics, random,
+            [this](const server_entry& server) {
+                checkAlive(server);
+            } }
+        , configFollower({ .topic = decoders.configTopic, .wait = options.configWait, .pause = duration::zero() },
+              store, followerHooks("config", [this](const store_record& item) { configRecord(item); }), random)
+        , serverFollower({ .topic = decoders.serverTopic, .wait = duration::zero(), .pause = options.serverPause },
+              store, followerHooks("servers", [this](const store_record& item) { serverRecord(item); }), random)
+        , suspectFollower(
+              { .topic = std::string(suspectTopic), .wait = options.suspectWait, .pause = duration::zero() }, store,
+              followerHooks("suspects", [this](const store_record& item) { suspectRecord(item); }), random)
+    {
+    }
+
+    follower_hooks followerHooks(std::string name, std::function<void(const store_record&)> onRecord)
+    {
+        const bool followsServers = name == "servers";
+        const bool followsConfig = name == "config";
+        return { .now = bootNow,
+            .after = [this](duration delay, std::function<void()> action) { loop.after(delay, std::move(action)); },
+            .onRecord = std::move(onRecord),
+            .onMissing =
+                [this, followsServers](const std::string& key) {
+                    if (followsServers)
+                        servers.remove(backend_id(key), bootNow());
+                },
+            .onCurrent =
+                [this, followsConfig](mono_time askedAt) {
+                    if (followsConfig && !configUnreadable)
+                        config.confirm(askedAt);
+                },
+            .onLost =
+                [this, name, followsServers](const error& why) {
+                    metrics.count("store_losses", name);
+                    logLine(log_level::Warn, "store_lost", { { "topic", name }, { "why", why.message } });
+                    if (followsServers)
+                        servers.storeLost(bootNow());
+                },
+            .onRegained =
+                [this, name, followsServers](duration away) {
+                    logLine(log_level::Info, "store_regained",
+                        { { "topic", name }, { "away_ms", fmt::format("{:.0f}", toSeconds(away) * 1000) } });
+                    if (followsServers)
+                        servers.storeRegained(away, bootNow());
+                } };
+    }
+
+    void configRecord(const store_record& record)
+    {
+        if (record.key != decoders.configKey || !record.value)
+            return;
+        auto decoded = decoders.config(*record.value);
+        configUnreadable = !decoded;
+        if (!decoded) {
+            metrics.count("unreadable_records", "config");
+            logLine(log_level::Error, "config_unreadable",
+                { { "why", decoded.error().message }, { "offset", std::to_string(record.offset) } });
+            return;
+        }
+        auto present = std::make_shared<const serving_config>(std::move(*decoded));
+        const bool applied = config.offer(present);
+        logLine(log_level::Info, applied ? "config_applied" : "config_ignored",
+            { { "version", std::to_string(present->version().value()) },
+                { "routes", std::to_string(present->data().routes.size()) },
+                { "offset", std::to_string(record.offset) } });
+    }
+
+    void serverRecord(const store_record& record)
+    {
+        const mono_time now = bootNow();
+        if (!record.value)
+            return servers.remove(backend_id(record.key), now);
+        auto decoded = decoders.server(record.key, *record.value);
+        if (decoded)
+            return servers.put(std::move(*decoded), now);
+        metrics.count("unreadable_records", "server");
+        logLine(
+            log_level::Warn, "server_entry_unreadable", { { "key", record.key }, { "why", decoded.error().message } });
+        servers.remove(backend_id(record.key), now);
+    }
+
+    void suspectRecord(const store_record& record)
+    {
+        const auto content = parseFingerprint(record.key);
+        if (!content || !record.value)
+            return;
+        const auto standing
+            = *record.value == quarantinedValue ? content_standing::Quarantined : content_standing::Suspect;
+        quarantine.learn({ *content, standing }, bootNow());
+    }
+
+    void serverChanged(const server_entry& server, server_change change)
+    {
+        metrics.count("server_changes", toString(change));
+        logLine(log_level::Info, "server_changed",
+            { { "server", server.id.value() }, { "pool", server.pool.value() }, { "address", toString(server.address) },
+                { "change", std::string(toString(change)) } });
+        if (change == server_change::Removed || change == server_change::Restarted) {
+            balancer.forget(server.id);
+            backends.dropIdle(server.address);
+        }
+        if (change == server_change::Restarted)
+            quarantine.generationSeen(server.id, static_cast<std::uint64_t>(server.startedAtMs), bootNow());
+        pieces.serverChanged(server, change);
+    }
+
+    // A server that refuses connections right after it lost one has crashed.
+    void checkAlive(const server_entry& server)
+    {
+        if (!checking.insert(server.id).second)
+            return;
+        constexpr duration patience = std::chrono::milliseconds(500);
+        auto probe = connection::open(loop, server.address, patience);
+        const std::weak_ptr<connection> weak = probe;
+        const auto end = [this, weak, id = server.id](bool refused) {
+            checking.erase(id);
+            if (refused)
+                quarantine.connectRefused(id, bootNow());
+            if (const auto open = weak.lock())
+                open->abort();
+            publishSuspects();
+        };
+        probe->setHandlers({ .onConnected = [end] { end(false); },
+            .onData = nullptr,
+            .onEnd = [end](stream_end) { end(true); },
+            .onWritten = nullptr });
+    }
+
+    void publishSuspects()
+    {
+        for (const auto& update : quarantine.takeUpdates()) {
+            if (update.standing == content_standing::Clear)
+                continue;
+            const bool quarantined = update.standing == content_standing::Quarantined;
+            const std::string key = fingerprintText(update.content);
+            const std::string value(quarantined ? quarantinedValue : suspectValue);
+            metrics.count("suspects", value);
+            logLine(log_level::Warn, "content_suspected", { { "content", key }, { "standing", value } });
+            store.append(std::string(suspectTopic), key, value, [key](const result<std::uint64_t>& done) {
+                if (!done)
+                    logLine(log_level::Warn, "suspect_not_published",
+                        { { "content", key }, { "why", done.error().message } });
+            });
+        }
+    }
+
+    http_service_limits callerLimits() const
+    {
+        const auto present = config.current();
+        const caller_limits limits = present ? present->limits() : caller_limits {};
+        return { .message = { .headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes },
+            .headerTimeout = limits.headerTimeout,
+            .idleTimeout = limits.idleTimeout };
+    }
+
+    result<void> start()
+    {
+        auto opened = http_service::open(loop,
+            { .address = settings.callers,
+                .limits = [this] { return callerLimits(); },
+                .handler
+                = [this](incoming_request request,
+                      std::shared_ptr<response_writer> writer) { take(std::move(request), std::move(writer)); },
+                .onRejected =
+                    [this](std::string_view reason, const std::string& peer) {
+                        metrics.count("rejected_messages", reason);
+                        logLine(log_level::Info, "message_rejected",
+                            { { "reason", std::string(reason) }, { "peer", peer } });
+                    } });
+        if (!opened)
+            return tl::make_unexpected(opened.error());
+        callers = std::move(*opened);
+        if (const auto side = openSide(settings.readiness, readinessService); !side)
+            return side;
+        if (settings.metrics) {
+            if (const auto side = openSide(*settings.metrics, metricsService); !side)
+                return side;
+        }
+        configFollower.start();
+        serverFollower.start();
+        suspectFollower.start();
+        expireRegularly();
+        return {};
+    }
+
+    // Readiness and metrics; both answer on either address.
+    result<void> openSide(const endpoint& address, std::unique_ptr<http_service>& service)
+    {
+        auto opened = http_service::open(loop,
+            { .address = address,
+                .limits = [] { return http_service_limits {}; },
+                .handler =
+                    [this](const incoming_request& request, const std::shared_ptr<response_writer>& writer) {
+                        if (request.head.target == "/metrics")
+                            return writer->send(plainHead(200), metricsText());
+                        writer->send(plainHead(ready() ? 200 : 503), {});
+                    },
+                .onRejected = nullptr });
+        if (!opened)
+            return tl::make_unexpected(opened.error());
+        service = std::move(*opened);
+        return {};
+    }
+
+    std::string metricsText()
+    {
+        const auto age = config.proofAge(bootNow());
+        metrics.set("config_proof_age_seconds", age ? toSeconds(*age) : -1);
+        metrics.set("config_version", config.current() ? static_cast<double>(config.current()->version().value()) : 0);
+        metrics.set("servers", static_cast<double>(servers.size()));
+        metrics.set("server_entries_age_seconds", toSeconds(serverFollower.silence(bootNow())));
+        metrics.set("requests_in_progress", static_cast<double>(sessions.size()));
+        metrics.set("caller_connections", static_cast<double>(callers->connections()));
+        metrics.set("backend_connections_opened", static_cast<double>(backends.connectionsOpened()));
+        return metrics.text();
+    }
+
+    bool ready() const { return !stopping && config.keysTrusted(bootNow()); }
+
+    void take(incoming_request request, std::shared_ptr<response_writer> writer)
+    {
+        auto session = std::make_shared<request_session>(context, options.sessions, std::move(request),
+            std::move(writer), [this](request_session& done) { sessionDone(done); });
+        sessions.insert(session);
+        if (refusing)
+            return session->rejectIfWaiting("stopping");
+        session->begin();
+    }
+
+    void sessionDone(request_session& session)
+    {
+        sessions.erase(session.shared_from_this());
+        publishSuspects();
+        if (refusing)
+            loop.post([this] { stopIfIdle(); });
+    }
+
+    void expireRegularly()
+    {
+        loop.after(options.expiryInterval, [this] {
+            servers.expire(bootNow());
+            const bool nowReady = ready();
+            if (nowReady != wasReady)
+                logLine(log_level::Info, nowReady ? "ready" : "not_ready",
+                    { { "config", config.current() ? std::to_string(config.current()->version().value()) : "-" },
+                        { "proof_age_ms",
+                            config.proofAge(bootNow())
+                                ? fmt::format("{:.0f}", toSeconds(*config.proofAge(bootNow())) * 1000)
+                                : "-" } });
+            wasReady = nowReady;
+            expireRegularly();
+        });
+    }
+
+    void stop(std::function<void()> callback)
+    {
+        if (stopping)
+            return;
+        stopping = true;
+        onStopped = std::move(callback);
+        logLine(log_level::Info, "stopping",
+            { { "requests", std::to_string(sessions.size()) },
+                { "connections", std::to_string(callers->connections()) } });
+        callers->beginClosing();
+        loop.after(options.acceptWhileStopping, [this] {
+            refusing = true;
+            const auto waiting = sessions;
+            for (const auto& session : waiting)
+                session->rejectIfWaiting("stopping");
+            stopIfIdle();
+        });
+        loop.after(settings.stopLimit - options.stopMargin, [this] { end(); });
+    }
+
+    void stopIfIdle()
+    {
+        if (!sessions.empty() || ended)
+            return;
+        callers->closeIdle();
+        // Bytes of the last answers and the closing of the connections need a moment.
+        constexpr duration farewell = std::chrono::milliseconds(200);
+        loop.after(farewell, [this] {
+            if (sessions.empty())
+                end();
+        });
+    }
+
+    void end()
+    {
+        if (ended)
+            return;
+        ended = true;
+        logLine(log_level::Info, "stopped", { { "requests_cut", std::to_string(sessions.size()) } });
+        onStopped();
+    }
+
+    event_loop& loop;
+    gateway_settings settings;
+    const record_decoders& decoders;
+    const record_store& store;
+    gateway_options options;
+    random_engine random;
+    gateway_metrics metrics;
+    config_state config;
+    server_registry servers;
+    server_balancer balancer;
+    repeat_budget repeats;
+    crash_quarantine quarantine;
+    http_client backends;
+    piece_service pieces;
+    gateway_context context;
+    topic_follower configFollower;
+    topic_follower serverFollower;
+    topic_follower suspectFollower;
+    std::unique_ptr<http_service> callers;
+    std::unique_ptr<http_service> readinessService;
+    std::unique_ptr<http_service> metricsService;
+    std::set<std::shared_ptr<request_session>> sessions;
+    std::set<backend_id> checking;
+    std::function<void()> onStopped;
+    bool configUnreadable = false;
+    bool stopping = false; // not ready any more
+    bool refusing = false; // new requests are refused
+    bool ended = false;
+    bool wasReady = false;
+};
+
+gateway::gateway(event_loop& loop, gateway_settings settings, const wire_adapter& adapter,
+    const record_decoders& decoders, const record_store& store, std::uint64_t seed, gateway_options options)
+    : m_state(std::make_unique<state>(loop, std::move(settings), adapter, decoders, store, seed, options))
+{
+}
+
+gateway::~gateway() = default;
+
+result<void> gateway::start() { return m_state->start(); }
+
+void gateway::stop(std::function<void()> onStopped) { m_state->stop(std::move(onStopped)); }
+
+std::uint16_t gateway::callerPort() const { return m_state->callers ? m_state->callers->port() : noPort; }
+
+bool gateway::ready() const { return m_state->ready(); }
+
+} // namespace balsamspring
--- /dev/null
+++ b/balsamspring/gateway/gateway_context.h
@@ -0,0 +1,39 @@
+// What the parts of one gateway share. Owned by the gateway; everything runs on the thread of its loop.
+#pragma once
+
+#include "balsamspring/base/log.h"
+#include "balsamspring/base/random.h"
+#include "balsamspring/gateway/config_state.h"
+#include "balsamspring/gateway/crash_quarantine.h"
+#include "balsamspring/gateway/gateway_metrics.h"
+#include "balsamspring/gateway/repeat_budget.h"
+#include "balsamspring/gateway/server_balancer.h"
+#include "balsamspring/gateway/server_registry.h"
+#include "balsamspring/gateway/wire_adapter.h"
+#include "balsamspring/net/event_loop.h"
+#include "balsamspring/net/http_exchange.h"
+
+#include <functional>
+
+namespace balsamspring {
+
+class piece_service;
+
+struct gateway_context {
+    event_loop& loop;
+    const wire_adapter& adapter;
+    zone_id zone;
+    config_state& config;
+    server_registry& servers;
+    server_balancer& balancer;
+    repeat_budget& repeats;
+    crash_quarantine& quarantine;
+    http_client& backends;
+    piece_service& pieces;
+    gateway_metrics& metrics;
+    random_engine& random;
+    // A server may have crashed with the request: tells whether it still accepts connections.
+    std::function<void(const server_entry&)> checkAlive;
+};
+
+} // namespace balsamspring
--- /dev/null
+++ b/balsamspring/gateway/piece_queue.cc
@@ -0,0 +1,238 @@
+#include "balsamspring/gateway/piece_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamspring {
+
+namespace {
+
+// A call that takes this multiple of its expected time, and the margin, is given up.
+constexpr double timeoutFactor = 2.5;
+constexpr duration timeoutMargin = std::chrono::milliseconds(400);
+// What a silent or lost call counts as.
+constexpr double failedFactor = 4;
+
+} // namespace
+
+piece_queue::piece_queue(piece_spec spec, piece_queue_options options)
+    : m_spec(spec)
+    , m_options(options)
+{
+}
+
+bool piece_queue::add(const piece_group& group, server_list servers, mono_time now)
+{
+    if (now + predictedDelay(group.count, servers, group.wanted, now) > group.deadline)
+        return false;
+    m_groups.push_back(group);
+    m_waiting += group.count;
+    return true;
+}
+
+void piece_queue::cancel(piece_ticket ticket)
+{
+    for (auto group = m_groups.begin(); group != m_groups.end();) {
+        if (group->ticket != ticket) {
+            ++group;
+            continue;
+        }
+        m_waiting -= group->count;
+        group = m_groups.erase(group);
+    }
+}
+
+std::vector<piece_ticket> piece_queue::takeExpired(mono_time now)
+{
+    std::vector<piece_ticket> expired;
+    for (auto group = m_groups.begin(); group != m_groups.end();) {
+        if (now + expectedTime(std::min(group->count, m_spec.batch)) <= group->deadline) {
+            ++group;
+            continue;
+        }
+        expired.push_back(group->ticket);
+        m_waiting -= group->count;
+        group = m_groups.erase(group);
+    }
+    return expired;
+}
+
+std::optional<piece_queue::call> piece_queue::next(server_list servers, mono_time now)
+{
+    if (m_groups.empty() || (m_callLimit > 0 && m_inProgress >= m_callLimit))
+        return std::nullopt;
+    const server_entry* server = freeServer(servers, now);
+    if (!server)
+        return std::nullopt;
+    call filled { server->id, {}, 0 };
+    server_state& state = m_servers[server->id];
+    fill(filled, state, now);
+    if (filled.pieces == 0) { // no room for any result: ask again when some were freed
+        state.blockedUntil = now + m_options.roomBlock;
+        return next(servers, now);
+    }
+    state.calls += 1;
+    m_inProgress += 1;
+    return filled;
+}
+
+const server_entry* piece_queue::freeServer(server_list servers, mono_time now) const
+{
+    const server_entry* best = nullptr;
+    double bestFactor = 0;
+    std::size_t fastServers = 0;
+    for (const server_entry* server : servers) {
+        const auto found = m_servers.find(server->id);
+        const server_state state = found == m_servers.end() ? server_state {} : found->second;
+        const double slowness = factor(state, now);
+        if (slowness < m_options.slowFactor && now >= state.blockedUntil)
+            fastServers += 1;
+        if (state.calls >= m_spec.slots || now < state.blockedUntil)
+            continue;
+        // Of equally fast servers the one with most room.
+        const double score
+            = slowness + 0.01 * static_cast<double>(state.kept) / (1.0 + static_cast<double>(m_spec.resultRoom));
+        if (!best || score < bestFactor) {
+            best = server;
+            bestFactor = score;
+        }
+    }
+    if (best && bestFactor >= m_options.slowFactor && m_waiting <= fastServers * m_spec.batch)
+        return nullptr;
+    return best;
+}
+
+void piece_queue::fill(call& filled, const server_state& server, mono_time now)
+{
+    std::vector<std::list<piece_group>::iterator> order;
+    for (auto group = m_groups.begin(); group != m_groups.end(); ++group)
+        order.push_back(group);
+    std::stable_sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
+        const bool aOnTime = stillOnTime(*a, now);
+        const bool bOnTime = stillOnTime(*b, now);
+        return aOnTime != bOnTime ? aOnTime : urgency(*a) < urgency(*b);
+    });
+    std::uint64_t room = m_spec.resultRoom > server.kept ? m_spec.resultRoom - server.kept : 0;
+    for (const auto& group : order) {
+        if (filled.pieces >= m_spec.batch)
+            break;
+        unsigned take = std::min(group->count, m_spec.batch - filled.pieces);
+        // A group that fits into one call is not split: its request would wait for two calls.
+        if (take < group->count && group->count <= m_spec.batch)
+            continue;
+        if (m_spec.resultRoom > 0 && group->resultBytes > 0) {
+            const auto fitting
+                = static_cast<unsigned>(std::min<std::uint64_t>(room / group->resultBytes, m_spec.batch));
+            if (fitting < take && (fitting == 0 || server.kept > 0))
+                continue;
+            take = std::max(1U, std::min(take, fitting));
+            room -= std::min(room, take * group->resultBytes);
+        }
+        filled.parts.push_back({ group->ticket, take });
+        filled.pieces += take;
+        m_waiting -= take;
+        group->count -= take;
+        if (group->count == 0)
+            m_groups.erase(group);
+    }
+}
+
+void piece_queue::succeeded(const backend_id& server, unsigned pieces, duration elapsed, mono_time now)
+{
+    server_state& state = m_servers[server];
+    release(state);
+    state.failures = 0;
+    state.factor = std::max(1.0, toSeconds(elapsed) / std::max(0.001, toSeconds(expectedTime(pieces))));
+    state.factorAt = now;
+}
+
+void piece_queue::failed(const backend_id& server, mono_time now)
+{
+    server_state& state = m_servers[server];
+    release(state);
+    state.factor = failedFactor;
+    state.factorAt = now;
+    state.blockedUntil = now + std::min(m_options.maxBlock, m_options.minBlock * (1 << std::min(state.failures, 8U)));
+    state.failures += 1;
+}
+
+void piece_queue::refused(const backend_id& server, mono_time now)
+{
+    server_state& state = m_servers[server];
+    release(state);
+    state.blockedUntil = now + m_options.roomBlock;
+}
+
+void piece_queue::resultsKept(const backend_id& server, std::uint64_t bytes) { m_servers[server].kept += bytes; }
+
+void piece_queue::resultsFreed(const backend_id& server, std::uint64_t bytes)
+{
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end())
+        found->second.kept -= std::min(found->second.kept, bytes);
+}
+
+void piece_queue::forget(const backend_id& server)
+{
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end())
+        return;
+    // Calls in progress still report their end.
+    found->second = { .calls = found->second.calls };
+    if (found->second.calls == 0)
+        m_servers.erase(found);
+}
+
+duration piece_queue::predictedDelay(unsigned pieces, server_list servers, mono_time wanted, mono_time now) const
+{
+    double rate = 0; // pieces a second of the whole pool in full calls
+    const double fullCall = toSeconds(expectedTime(m_spec.batch));
+    for (const server_entry* server : servers) {
+        const auto found = m_servers.find(server->id);
+        const double slowness = found == m_servers.end() ? 1 : factor(found->second, now);
+        rate += m_spec.slots * m_spec.batch / (fullCall * slowness);
+    }
+    if (rate <= 0)
+        return expectedTime(std::min(pieces, m_spec.batch));
+    double ahead = 0;
+    for (const piece_group& group : m_groups) {
+        if (group.wanted <= wanted)
+            ahead += group.count;
+    }
+    const double busyShare = static_cast<double>(m_inProgress) / (m_spec.slots * static_cast<double>(servers.size()));
+    const double untilFree = busyShare >= 1 ? fullCall / 2 : 0;
+    return fromSeconds(ahead / rate + untilFree) + expectedTime(std::min(pieces, m_spec.batch));
+}
+
+duration piece_queue::callTimeout(const backend_id& server, unsigned pieces, mono_time now) const
+{
+    const auto found = m_servers.find(server);
+    const double slowness = found == m_servers.end() ? 1 : factor(found->second, now);
+    return fromSeconds(toSeconds(expectedTime(pieces)) * std::max(timeoutFactor, 1.5 * slowness)) + timeoutMargin;
+}
+
+double piece_queue::factor(const server_state& server, mono_time now) const
+{
+    const double age = toSeconds(now - server.factorAt) / toSeconds(m_options.slowMemory);
+    return 1 + (server.factor - 1) * std::exp2(-age);
+}
+
+void piece_queue::release(server_state& server)
+{
+    if (server.calls == 0)
+        return;
+    server.calls -= 1;
+    m_inProgress -= 1;
+}
+
+mono_time piece_queue::urgency(const piece_group& group) const
+{
+    return group.wanted + m_options.priorityStep * group.priority;
+}
+
+bool piece_queue::stillOnTime(const piece_group& group, mono_time now) const
+{
+    return now + expectedTime(std::min(group.count, m_spec.batch)) <= group.wanted;
+}
+
+} // namespace balsamspring
--- /dev/null
+++ b/balsamspring/net/connection.cc
@@ -0,0 +1,326 @@
+#include "balsamspring/net/connection.h"
+
+#include "balsamspring/net/event_loop_state.h"
+
+#include <array>
+#include <charconv>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/core.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace balsamspring {
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+constexpr std::size_t readBytes = 16 * 1024;
+// How long a closed connection waits for the peer to close as well.
+constexpr auto lingerLimit = std::chrono::seconds(1);
+constexpr int acceptBacklog = 512;
+
+void setOptions(tcp::socket& socket, duration unackedLimit)
+{
+    boost::system::error_code ignored; // an option that is refused costs latency only
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto milliseconds
+        = static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(unackedLimit).count());
+    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+}
+
+} // namespace
+
+result<endpoint> parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    endpoint parsed;
+    if (colon == std::string_view::npos || colon == 0)
+        return makeError(error_code::InvalidArgument, fmt::format("\"{}\" is not IP:PORT", text));
+    const auto digits = text.substr(colon + 1);
+    const auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), parsed.port);
+    parsed.address = text.substr(0, colon);
+    boost::system::error_code invalid;
+    boost::asio::ip::make_address(parsed.address, invalid);
+    if (failure != std::errc() || end != digits.data() + digits.size() || invalid)
+        return makeError(error_code::InvalidArgument, fmt::format("\"{}\" is not IP:PORT", text));
+    return parsed;
+}
+
+std::string toString(const endpoint& where) { return fmt::format("{}:{}", where.address, where.port); }
+
+struct connection::socket_state {
+    socket_state(event_loop& owner, tcp::socket open)
+        : loop(owner)
+        , socket(std::move(open))
+    {
+    }
+
+    event_loop& loop;
+    tcp::socket socket;
+    connection_handlers handlers;
+    std::array<char, readBytes> input {};
+    std::string writing; // with the kernel now
+    std::string queued;
+    std::string peer;
+    event_loop::timer_id lingerTimer = 0;
+    bool connected = true;
+    bool open = true;
+    bool reading = false;
+    bool paused = false;
+    bool ended = false; // the end of the peer was reported
+    bool closing = false;
+};
+
+connection::connection(std::unique_ptr<socket_state> socket)
+    : m_socket(std::move(socket))
+{
+}
+
+connection::~connection() = default;
+
+std::shared_ptr<connection> connection::open(event_loop& loop, const endpoint& peer, duration unackedLimit)
+{
+    tcp::socket socket(loop.internals().context);
+    boost::system::error_code ignored; // a socket that did not open fails in connectTo()
+    socket.open(tcp::v4(), ignored);
+    if (!ignored)
+        setOptions(socket, unackedLimit);
+    auto made = std::make_shared<connection>(std::make_unique<socket_state>(loop, std::move(socket)));
+    made->m_socket->connected = false;
+    made->m_socket->peer = peer.address;
+    made->connectTo(peer);
+    return made;
+}
+
+void connection::connectTo(const endpoint& peer)
+{
+    boost::system::error_code invalid;
+    const auto address = boost::asio::ip::make_address(peer.address, invalid);
+    m_socket->socket.async_connect(
+        tcp::endpoint(address, peer.port), [self = shared_from_this()](boost::system::error_code error) {
+            auto& state = *self->m_socket;
+            if (!state.open)
+                return;
+            if (error)
+                return self->finish(stream_end::Reset);
+            state.connected = true;
+            if (const auto connected = state.handlers.onConnected)
+                connected();
+            self->readMore();
+            self->writeMore();
+        });
+}
+
+void connection::start(connection_handlers handlers)
+{
+    m_socket->handlers = std::move(handlers);
+    readMore();
+}
+
+void connection::setHandlers(connection_handlers handlers) { m_socket->handlers = std::move(handlers); }
+
+bool connection::isOpen() const { return m_socket->open && !m_socket->ended && !m_socket->closing; }
+
+const std::string& connection::peerAddress() const { return m_socket->peer; }
+
+std::size_t connection::unwritten() const { return m_socket->writing.size() + m_socket->queued.size(); }
+
+void connection::pauseReading(bool paused)
+{
+    m_socket->paused = paused;
+    if (!paused)
+        readMore();
+}
+
+void connection::readMore()
+{
+    auto& state = *m_socket;
+    if (!state.open || !state.connected || state.reading || state.ended || (state.paused && !state.closing))
+        return;
+    state.reading = true;
+    state.socket.async_read_some(boost::asio::buffer(state.input),
+        [self = shared_from_this()](boost::system::error_code error, std::size_t count) {
+            auto& state = *self->m_socket;
+            state.reading = false;
+            if (!state.open)
+                return;
+            if (error)
+                return self->finish(error == boost::asio::error::eof ? stream_end::Closed : stream_end::Reset);
+            if (!state.closing) {
+                // The callback may replace itself.
+                if (const auto data = state.handlers.onData)
+                    data(std::string_view(state.input.data(), count));
+            }
+            self->readMore();
+        });
+}
+
+void connection::write(std::string bytes)
+{
+    auto& state = *m_socket;
+    if (!state.open || bytes.empty())
+        return;
+    if (state.queued.empty())
+        state.queued = std::move(bytes);
+    else
+        state.queued += bytes;
+    writeMore();
+}
+
+void connection::writeMore()
+{
+    auto& state = *m_socket;
+    if (!state.open || !state.connected || !state.writing.empty() || state.queued.empty())
+        return;
+    state.writing = std::move(state.queued);
+    state.queued.clear();
+    // Most writes fit into the kernel's buffer: trying at once saves a wake-up.
+    boost::system::error_code error;
+    state.socket.non_blocking(true, error);
+    const std::size_t sent = state.socket.write_some(boost::asio::buffer(state.writing), error);
+    if (!error && sent == state.writing.size()) {
+        state.writing.clear();
+        if (state.closing)
+            return halfClose();
+        if (const auto written = state.handlers.onWritten)
+            written();
+        return;
+    }
+    state.writing.erase(0, error ? 0 : sent);
+    boost::asio::async_write(state.socket, boost::asio::buffer(state.writing),
+        [self = shared_from_this()](boost::system::error_code failed, std::size_t) {
+            auto& state = *self->m_socket;
+            state.writing.clear();
+            if (!state.open)
+                return;
+            if (failed)
+                return self->finish(stream_end::Reset);
+            if (!state.queued.empty())
+                return self->writeMore();
+            if (state.closing)
+                return self->halfClose();
+            if (const auto written = state.handlers.onWritten)
+                written();
+        });
+}
+
+void connection::finish(stream_end end)
+{
+    auto& state = *m_socket;
+    if (state.ended || !state.open)
+        return;
+    state.ended = true;
+    if (state.closing)
+        return abort();
+    if (const auto ended = state.handlers.onEnd)
+        ended(end);
+    if (end == stream_end::Reset)
+        abort();
+}
+
+void connection::close()
+{
+    auto& state = *m_socket;
+    if (!state.open || state.closing)
+        return;
+    state.closing = true;
+    state.handlers = {};
+    state.lingerTimer = state.loop.after(lingerLimit, [self = shared_from_this()] { self->abort(); });
+    if (!state.connected)
+        return abort();
+    if (unwritten() == 0)
+        halfClose();
+}
+
+void connection::halfClose()
+{
+    boost::system::error_code ignored; // the peer may have gone
+    m_socket->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    if (m_socket->ended)
+        return abort();
+    readMore();
+}
+
+void connection::abort()
+{
+    auto& state = *m_socket;
+    if (!state.open)
+        return;
+    state.open = false;
+    state.loop.cancel(state.lingerTimer);
+    boost::system::error_code ignored; // closing never leaves the descriptor open
+    state.socket.close(ignored);
+    // A callback that runs now keeps what it holds until it returns.
+    state.loop.post([self = shared_from_this(), handlers = std::move(state.handlers)] {});
+    state.handlers = {};
+}
+
+struct listener::state : std::enable_shared_from_this<listener::state> {
+    state(event_loop& owner, duration limit, accept_callback callback)
+        : loop(owner)
+        , acceptor(owner.internals().context)
+        , unackedLimit(limit)
+        , onAccept(std::move(callback))
+    {
+    }
+
+    void acceptNext()
+    {
+        acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted || !self->acceptor.is_open())
+                return;
+            if (error) { // out of descriptors: the connections wait in the kernel's queue
+                self->loop.after(std::chrono::milliseconds(50), [self] { self->acceptNext(); });
+                return;
+            }
+            setOptions(socket, self->unackedLimit);
+            self->onAccept(std::make_shared<connection>(
+                std::make_unique<connection::socket_state>(self->loop, std::move(socket))));
+            self->acceptNext();
+        });
+    }
+
+    event_loop& loop;
+    tcp::acceptor acceptor;
+    duration unackedLimit;
+    accept_callback onAccept;
+};
+
+listener::listener(std::shared_ptr<state> state)
+    : m_state(std::move(state))
+{
+}
+
+listener::~listener()
+{
+    boost::system::error_code ignored; // nothing can be done about it
+    m_state->acceptor.close(ignored);
+}
+
+std::uint16_t listener::port() const { return m_state->acceptor.local_endpoint().port(); }
+
+result<std::unique_ptr<listener>> listener::open(
+    event_loop& loop, const endpoint& address, duration unackedLimit, accept_callback onAccept)
+{
+    auto made = std::make_shared<state>(loop, unackedLimit, std::move(onAccept));
+    boost::system::error_code error;
+    const tcp::endpoint where(boost::asio::ip::make_address(address.address, error), address.port);
+    if (!error)
+        made->acceptor.open(tcp::v4(), error);
+    if (!error)
+        made->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        made->acceptor.bind(where, error);
+    if (!error)
+        made->acceptor.listen(acceptBacklog, error);
+    if (error)
+        return makeError(balsamspring::error_code::Unavailable,
+            fmt::format("cannot listen on {}: {}", toString(address), error.message()));
+    made->acceptNext();
+    return std::unique_ptr<listener>(new listener(std::move(made)));
+}
+
+} // namespace balsamspring
--- /dev/null
+++ b/balsamspring/net/http_exchange.cc
@@ -0,0 +1,334 @@
+#include "balsamspring/net/http_exchange.h"
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+#include <map>
+
+namespace balsamspring {
+
+namespace {
+
+// Status codes below this are interim responses.
+constexpr unsigned firstFinalStatus = 200;
+// A peer closes an idle connection after the time that it states; the connection is given up this much earlier.
+constexpr duration keepAliveMargin = std::chrono::milliseconds(500);
+
+// The idle time that `Keep-Alive: timeout=5` allows, if the peer states one.
+std::optional<duration> statedIdleLimit(const http_head& head)
+{
+    const std::string* value = head.find("Keep-Alive");
+    if (!value)
+        return std::nullopt;
+    const auto at = value->find("timeout=");
+    if (at == std::string::npos)
+        return std::nullopt;
+    std::int64_t seconds = 0;
+    const char* digits = value->data() + at + std::string_view("timeout=").size();
+    if (std::from_chars(digits, value->data() + value->size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+struct idle_connection {
+    std::shared_ptr<connection> link;
+    mono_time since;
+    duration limit;
+};
+
+} // namespace
+
+std::string_view toString(exchange_end end)
+{
+    switch (end) {
+    case exchange_end::Complete:
+        return "complete";
+    case exchange_end::NotSent:
+        return "not_sent";
+    case exchange_end::Lost:
+        return "lost";
+    case exchange_end::Malformed:
+        return "malformed";
+    }
+    return "lost";
+}
+
+struct http_client::state : std::enable_shared_from_this<http_client::state> {
+    state(event_loop& owner, http_client_options given)
+        : loop(owner)
+        , options(given)
+    {
+    }
+
+    std::shared_ptr<connection> takeIdle(const endpoint& peer, duration maxIdle)
+    {
+        const auto found = idle.find(peer);
+        if (found == idle.end())
+            return nullptr;
+        auto& list = found->second;
+        const mono_time now = bootNow();
+        while (!list.empty()) {
+            const idle_connection newest = list.back();
+            list.pop_back();
+            const duration age = now - newest.since;
+            if (newest.link->isOpen() && age < newest.limit && age <= maxIdle)
+                return newest.link;
+            if (newest.link->isOpen() && age < newest.limit) { // older ones are no better
+                list.push_back(newest);
+                return nullptr;
+            }
+            newest.link->abort();
+        }
+        return nullptr;
+    }
+
+    void putIdle(const endpoint& peer, std::shared_ptr<connection> link, duration limit)
+    {
+        auto& list = idle[peer];
+        if (list.size() >= options.idlePerPeer) {
+            list.front().link->abort();
+            list.pop_front();
+        }
+        // Bytes without a request belong to nobody: the connection cannot be trusted any more.
+        const std::weak_ptr<connection> weak = link;
+        const auto drop = [weak] {
+            if (const auto open = weak.lock())
+                open->abort();
+        };
+        link->setHandlers({ .onConnected = nullptr,
+            .onData = [drop](std::string_view) { drop(); },
+            .onEnd = [drop](stream_end) { drop(); },
+            .onWritten = nullptr });
+        list.push_back({ std::move(link), bootNow(), limit });
+        armSweep();
+    }
+
+    void armSweep()
+    {
+        if (sweepTimer)
+            return;
+        sweepTimer = loop.after(options.idleLimit, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->sweep();
+        });
+    }
+
+    void sweep()
+    {
+        sweepTimer = 0;
+        const mono_time now = bootNow();
+        for (auto entry = idle.begin(); entry != idle.end();) {
+            auto& list = entry->second;
+            while (!list.empty() && (!list.front().link->isOpen() || now - list.front().since >= list.front().limit)) {
+                list.front().link->abort();
+                list.pop_front();
+            }
+            entry = list.empty() ? idle.erase(entry) : std::next(entry);
+        }
+        if (!idle.empty())
+            armSweep();
+    }
+
+    event_loop& loop;
+    http_client_options options;
+    std::map<endpoint, std::deque<idle_connection>> idle; // oldest first
+    event_loop::timer_id sweepTimer = 0;
+    std::uint64_t opened = 0;
+};
+
+namespace {
+
+class exchange final : public http_exchange, public std::enable_shared_from_this<exchange> {
+public:
+    exchange(std::shared_ptr<http_client::state> client, const endpoint& peer, exchange_request request,
+        exchange_callbacks callbacks)
+        : m_client(std::move(client))
+        , m_peer(peer)
+        , m_request(std::move(request))
+        , m_callbacks(std::move(callbacks))
+        , m_parser(http_role::Response, m_client->options.limits,
+              { .onHead = [this](const http_head& head) { headArrived(head); },
+                  .onBody = [this](std::string_view body) { bodyArrived(body); },
+                  .onComplete =
+                      [this] {
+                          m_messageEnded = true;
+                      } })
+    {
+    }
+
+    void begin()
+    {
+        m_link = m_request.maxIdle.count() > 0 ? m_client->takeIdle(m_peer, m_request.maxIdle) : nullptr;
+        m_reused = m_link != nullptr;
+        if (!m_link) {
+            m_client->opened += 1;
+            m_link = connection::open(m_client->loop, m_peer, m_client->options.unackedLimit);
+            m_connectTimer = m_client->loop.after(
+                m_client->options.connectTimeout, [self = shared_from_this()] { self->end(exchange_end::NotSent); });
+        }
+        m_link->setHandlers({ .onConnected = [self = shared_from_this()] { self->connected(); },
+            .onData = [self = shared_from_this()](std::string_view bytes) { self->received(bytes); },
+            .onEnd = [self = shared_from_this()](stream_end how) { self->linkEnded(how); },
+            .onWritten = nullptr });
+        if (m_reused)
+            connected();
+    }
+
+    void cancel() override
+    {
+        if (m_done)
+            return;
+        m_done = true;
+        m_callbacks = {};
+        release(false);
+    }
+
+    void pauseReading(bool paused) override
+    {
+        if (!m_done)
+            m_link->pauseReading(paused);
+    }
+
+    bool reusedConnection() const override { return m_reused; }
+
+private:
+    void connected()
+    {
+        m_client->loop.cancel(m_connectTimer);
+        m_connectTimer = 0;
+        m_sent = true;
+        m_link->write(std::move(m_request.bytes));
+    }
+
+    void headArrived(const http_head& head)
+    {
+        const std::string* echoed = m_request.echoField.empty() ? nullptr : head.find(m_request.echoField);
+        m_skipping = head.status < firstFinalStatus || (echoed && *echoed != m_request.echoValue);
+        if (m_skipping) {
+            m_tainted = m_tainted || head.status >= firstFinalStatus;
+            return;
+        }
+        if (m_request.expectNoBody)
+            m_parser.expectNoBody();
+        m_keepAlive = head.keepAlive;
+        m_idleLimit = m_client->options.idleLimit;
+        if (const auto stated = statedIdleLimit(head))
+            m_idleLimit = std::min(m_idleLimit, std::max(duration::zero(), *stated - keepAliveMargin));
+        if (const auto onHead = m_callbacks.onHead)
+            onHead(head);
+    }
+
+    void bodyArrived(std::string_view body)
+    {
+        if (m_skipping || m_done)
+            return;
+        if (const auto onBody = m_callbacks.onBody)
+            onBody(body);
+    }
+
+    void received(std::string_view bytes)
+    {
+        http_failure failure = m_parser.feed(bytes);
+        while (!m_done && failure == http_failure::None && m_messageEnded) {
+            m_messageEnded = false;
+            if (!m_skipping)
+                return end(exchange_end::Complete);
+            failure = m_parser.next();
+        }
+        if (!m_done && failure != http_failure::None)
+            end(exchange_end::Malformed);
+    }
+
+    void linkEnded(stream_end how)
+    {
+        if (!m_sent)
+            return end(exchange_end::NotSent);
+        // Without a length the end of the connection ends the body, unless the connection broke.
+        const bool complete = how == stream_end::Closed && m_parser.headSeen() && !m_skipping
+            && m_parser.finish() == http_failure::None && m_messageEnded;
+        if (m_done)
+            return;
+        m_keepAlive = false;
+        end(complete ? exchange_end::Complete : exchange_end::Lost);
+    }
+
+    void end(exchange_end how)
+    {
+        if (m_done)
+            return;
+        m_done = true;
+        const bool reusable = how == exchange_end::Complete && m_keepAlive && !m_tainted && m_link->isOpen()
+            && m_link->unwritten() == 0 && m_parser.buffered() == 0 && m_idleLimit.count() > 0;
+        const auto callbacks = std::move(m_callbacks);
+        m_callbacks = {};
+        release(reusable);
+        if (callbacks.onEnd)
+            callbacks.onEnd(how);
+    }
+
+    void release(bool reusable)
+    {
+        m_client->loop.cancel(m_connectTimer);
+        m_connectTimer = 0;
+        if (reusable) {
+            m_link->pauseReading(false);
+            m_client->putIdle(m_peer, m_link, m_idleLimit);
+        } else {
+            m_link->abort();
+        }
+    }
+
+    std::shared_ptr<http_client::state> m_client;
+    endpoint m_peer;
+    exchange_request m_request;
+    exchange_callbacks m_callbacks;
+    http_parser m_parser;
+    std::shared_ptr<connection> m_link;
+    event_loop::timer_id m_connectTimer = 0;
+    duration m_idleLimit {};
+    bool m_reused = false;
+    bool m_sent = false;
+    bool m_skipping = false;
+    bool m_tainted = false;
+    bool m_messageEnded = false;
+    bool m_keepAlive = false;
+    bool m_done = false;
+};
+
+} // namespace
+
+http_client::http_client(event_loop& loop, http_client_options options)
+    : m_state(std::make_shared<state>(loop, options))
+{
+}
+
+http_client::~http_client()
+{
+    m_state->loop.cancel(m_state->sweepTimer);
+    for (auto& [peer, list] : m_state->idle) {
+        for (auto& entry : list)
+            entry.link->abort();
+    }
+}
+
+std::shared_ptr<http_exchange> http_client::start(
+    const endpoint& peer, exchange_request request, exchange_callbacks callbacks)
+{
+    auto started = std::make_shared<exchange>(m_state, peer, std::move(request), std::move(callbacks));
+    started->begin();
+    return started;
+}
+
+void http_client::dropIdle(const endpoint& peer)
+{
+    const auto found = m_state->idle.find(peer);
+    if (found == m_state->idle.end())
+        return;
+    for (auto& entry : found->second)
+        entry.link->abort();
+    m_state->idle.erase(found);
+}
+
+std::uint64_t http_client::connectionsOpened() const { return m_state->opened; }
+
+} // namespace balsamspring
--- /dev/null
+++ b/balsamspring/net/http_service.cc
@@ -0,0 +1,365 @@
+#include "balsamspring/net/http_service.h"
+
+#include <set>
+
+#include <fmt/core.h>
+
+namespace balsamspring {
+
+namespace {
+
+class caller_link;
+
+// Bytes of following requests that are taken while a response is in progress. Reading goes on so that the end of the
+// connection is seen.
+constexpr std::size_t pipelineBytes = 64 * 1024;
+
+} // namespace
+
+struct http_service::state {
+    state(event_loop& owner, http_service_options given)
+        : loop(owner)
+        , options(std::move(given))
+    {
+    }
+
+    event_loop& loop;
+    http_service_options options;
+    std::unique_ptr<listener> acceptor;
+    std::set<std::shared_ptr<caller_link>> links;
+    std::size_t inProgress = 0;
+    bool closing = false;
+};
+
+namespace {
+
+class caller_link final : public response_writer, public std::enable_shared_from_this<caller_link> {
+public:
+    caller_link(std::shared_ptr<http_service::state> service, std::shared_ptr<connection> link)
+        : m_service(std::move(service))
+        , m_link(std::move(link))
+        , m_limits(m_service->options.limits())
+        , m_parser(http_role::Request, m_limits.message,
+              { .onHead = [this](const http_head& head) { headArrived(head); },
+                  .onBody = [this](std::string_view body) { m_request.body += body; },
+                  .onComplete =
+                      [this] {
+                          m_messageEnded = true;
+                      } })
+    {
+    }
+
+    void begin()
+    {
+        m_service->links.insert(shared_from_this());
+        m_link->start({ .onConnected = nullptr,
+            .onData = [self = shared_from_this()](std::string_view bytes) { self->received(bytes); },
+            .onEnd = [self = shared_from_this()](stream_end) { self->gone(); },
+            .onWritten =
+                [self = shared_from_this()] {
+                    self->written();
+                } });
+        armTimer(m_limits.idleTimeout);
+    }
+
+    void closeIfIdle()
+    {
+        if (!m_inProgress && m_parser.idle())
+            finishLink();
+    }
+
+    void send(http_head head, std::string_view body) override
+    {
+        if (!m_inProgress || m_begun)
+            return;
+        const bool noBody = m_request.head.method == "HEAD" || head.status == 204 || head.status == 304;
+        if (head.status != 204)
+            head.fields.push_back({ "Content-Length", std::to_string(body.size()) });
+        addConnectionField(head);
+        m_begun = true;
+        std::string bytes = formatHead(head);
+        if (!noBody)
+            bytes += body;
+        m_link->write(std::move(bytes));
+        responseEnded();
+    }
+
+    void begin(http_head head) override
+    {
+        if (!m_inProgress || m_begun)
+            return;
+        m_begun = true;
+        m_framing = framing::Length;
+        if (head.contentLength) {
+            head.fields.push_back({ "Content-Length", std::to_string(*head.contentLength) });
+        } else if (m_request.head.version >= 11) {
+            m_framing = framing::Chunked;
+            head.fields.push_back({ "Transfer-Encoding", "chunked" });
+        } else {
+            m_framing = framing::Close;
+            m_closeAfter = true;
+        }
+        addConnectionField(head);
+        m_link->write(formatHead(head));
+    }
+
+    void write(std::string_view bytes) override
+    {
+        if (!m_inProgress || !m_begun || bytes.empty() || m_request.head.method == "HEAD")
+            return;
+        m_link->write(m_framing == framing::Chunked ? formatChunk(bytes) : std::string(bytes));
+    }
+
+    void end() override
+    {
+        if (!m_inProgress || !m_begun)
+            return;
+        if (m_framing == framing::Chunked && m_request.head.method != "HEAD")
+            m_link->write(std::string(lastChunk));
+        responseEnded();
+    }
+
+    void abort() override
+    {
+        if (!m_inProgress)
+            return;
+        release();
+        m_link->abort();
+        finishLink();
+    }
+
+    bool begun() const override { return m_begun; }
+    std::size_t unwritten() const override { return m_link->unwritten(); }
+    void onGone(std::function<void()> callback) override { m_onGone = std::move(callback); }
+    void onWritten(std::function<void()> callback) override { m_onWritten = std::move(callback); }
+
+private:
+    enum class framing : std::uint8_t { Length, Chunked, Close };
+
+    void headArrived(const http_head& head)
+    {
+        m_request.head = head;
+        const std::string* expect = head.find("Expect");
+        if (expect && equalIgnoringCase(*expect, "100-continue") && m_parser.buffered() == 0)
+            m_link->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    void received(std::string_view bytes)
+    {
+        if (m_inProgress) {
+            m_held += bytes;
+            if (m_held.size() > pipelineBytes)
+                m_link->pauseReading(true);
+            return;
+        }
+        take(bytes);
+    }
+
+    void take(std::string_view bytes)
+    {
+        if (m_parser.idle()) {
+            m_request.firstByte = bootNow();
+            armTimer(m_limits.headerTimeout);
+        }
+        const http_failure failure = m_parser.feed(bytes);
+        advance(failure);
+    }
+
+    void advance(http_failure failure)
+    {
+        if (failure != http_failure::None)
+            return reject(failure);
+        if (m_messageEnded)
+            return deliver();
+        if (m_parser.headSeen())
+            armTimer(m_limits.idleTimeout);
+    }
+
+    void deliver()
+    {
+        m_messageEnded = false;
+        m_service->loop.cancel(m_timer);
+        m_timer = 0;
+        m_inProgress = true;
+        m_begun = false;
+        m_closeAfter = !m_request.head.keepAlive;
+        m_service->inProgress += 1;
+        m_request.received = bootNow();
+        m_request.peer = m_link->peerAddress();
+        incoming_request request;
+        request.head = m_request.head;
+        request.body = std::move(m_request.body);
+        request.firstByte = m_request.firstByte;
+        request.received = m_request.received;
+        m_request.body.clear();
+        m_service->options.handler(std::move(request), shared_from_this());
+    }
+
+    void reject(http_failure failure)
+    {
+        unsigned status = 400;
+        std::string_view reason = "malformed";
+        if (failure == http_failure::HeaderTooLarge) {
+            status = 431;
+            reason = "header_too_large";
+        } else if (failure == http_failure::BodyTooLarge) {
+            status = 413;
+            reason = "body_too_large";
+        }
+        refuse(status, reason);
+    }
+
+    void refuse(unsigned status, std::string_view reason)
+    {
+        if (m_service->options.onRejected)
+            m_service->options.onRejected(reason, m_link->peerAddress());
+        m_link->write(fmt::format("HTTP/1.1 {} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, reason));
+        finishLink();
+    }
+
+    void timedOut()
+    {
+        m_timer = 0;
+        if (m_inProgress)
+            return;
+        // A request that has not arrived whole has not run.
+        if (!m_parser.idle())
+            return refuse(408, "request_timeout");
+        finishLink();
+    }
+
+    void addConnectionField(http_head& head)
+    {
+        if (m_service->closing)
+            m_closeAfter = true;
+        if (m_closeAfter)
+            head.fields.push_back({ "Connection", "close" });
+        else if (m_request.head.version < 11)
+            head.fields.push_back({ "Connection", "keep-alive" });
+    }
+
+    void responseEnded()
+    {
+        const bool closeLink = m_closeAfter;
+        release();
+        if (closeLink)
+            return finishLink();
+        m_request = {};
+        m_limits = m_service->options.limits();
+        armTimer(m_limits.idleTimeout);
+        // The handler has returned before the next request is parsed, which bounds the depth of calls.
+        m_service->loop.post([self = shared_from_this()] { self->continueReading(); });
+    }
+
+    void continueReading()
+    {
+        if (m_finished || m_inProgress)
+            return;
+        if (m_parser.complete()) {
+            m_request.firstByte = bootNow();
+            advance(m_parser.next());
+        }
+        if (m_finished || m_inProgress || m_held.empty())
+            return;
+        const std::string bytes = std::move(m_held);
+        m_held.clear();
+        m_link->pauseReading(false);
+        take(bytes);
+    }
+
+    void release()
+    {
+        if (!m_inProgress)
+            return;
+        m_inProgress = false;
+        m_service->inProgress -= 1;
+        m_onGone = nullptr;
+        m_onWritten = nullptr;
+    }
+
+    void written()
+    {
+        if (const auto callback = m_onWritten)
+            callback();
+    }
+
+    void gone()
+    {
+        const auto callback = std::move(m_onGone);
+        m_onGone = nullptr;
+        release();
+        finishLink();
+        if (callback)
+            callback();
+    }
+
+    void finishLink()
+    {
+        if (m_finished)
+            return;
+        m_finished = true;
+        m_service->loop.cancel(m_timer);
+        m_timer = 0;
+        m_link->close();
+        m_service->links.erase(shared_from_this());
+    }
+
+    void armTimer(duration delay)
+    {
+        m_service->loop.cancel(m_timer);
+        m_timer = m_service->loop.after(delay, [self = shared_from_this()] { self->timedOut(); });
+    }
+
+    std::shared_ptr<http_service::state> m_service;
+    std::shared_ptr<connection> m_link;
+    http_service_limits m_limits;
+    http_parser m_parser;
+    incoming_request m_request;
+    std::string m_held; // bytes that arrived while a response was in progress
+    std::function<void()> m_onGone;
+    std::function<void()> m_onWritten;
+    event_loop::timer_id m_timer = 0;
+    framing m_framing = framing::Length;
+    bool m_messageEnded = false;
+    bool m_inProgress = false;
+    bool m_begun = false;
+    bool m_closeAfter = false;
+    bool m_finished = false;
+};
+
+} // namespace
+
+http_service::http_service(std::shared_ptr<state> state)
+    : m_state(std::move(state))
+{
+}
+
+http_service::~http_service() = default;
+
+result<std::unique_ptr<http_service>> http_service::open(event_loop& loop, http_service_options options)
+{
+    auto made = std::make_shared<state>(loop, std::move(options));
+    auto opened = listener::open(loop, made->options.address, made->options.unackedLimit,
+        [made](std::shared_ptr<connection> link) { std::make_shared<caller_link>(made, std::move(link))->begin(); });
+    if (!opened)
+        return tl::make_unexpected(opened.error());
+    made->acceptor = std::move(*opened);
+    return std::unique_ptr<http_service>(new http_service(std::move(made)));
+}
+
+void http_service::beginClosing() { m_state->closing = true; }
+
+void http_service::closeIdle()
+{
+    const auto links = m_state->links;
+    for (const auto& link : links)
+        link->closeIfIdle();
+}
+
+std::size_t http_service::connections() const { return m_state->links.size(); }
+
+std::size_t http_service::requestsInProgress() const { return m_state->inProgress; }
+
+std::uint16_t http_service::port() const { return m_state->acceptor->port(); }
+
+} // namespace balsamspring
--- a/balsamspring/server/serving_core.h
+++ b/balsamspring/server/serving_core.h
@@ -8,7 +8,7 @@
 #include "balsamspring/admission/stage_estimator.h"
 #include "balsamspring/admission/team_quotas.h"
 #include "balsamspring/base/random.h"
-#include "balsamspring/execution/crash_quarantine.h"
+#include "balsamspring/gateway/crash_quarantine.h"
 #include "balsamspring/routing/router.h"
 #include "balsamspring/routing/subset.h"
 #include "balsamspring/server/config_snapshot.h"
