Gather the pieces of a pool at one VM

Change: the log service deals partitions to the live VMs; the VM that owns a pool's partition takes the pieces of all VMs into one queue. A VM that cannot reach it makes one call at a time itself. Messages are a schema (lite runtime) over HTTP on the internal port: gRPC starts a dozen threads on a quarter of a core.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "balsamspring/gateway/gateway.h"
 
+#include "balsamspring/gateway/piece_gatherer.h"
 #include "balsamspring/gateway/topic_follower.h"
 
 #include <charconv>
@@ -69,7 +70,9 @@
         , quarantine({})
         , backends(loop, {})
         , pieces({}, { loop, wire, servers, repeats, backends, metrics })
-        , context { loop, wire, settings.zone, config, servers, balancer, repeats, quarantine, backends, pieces,
+        , router({}, loop, pieces, metrics)
+        , gatherer({}, loop, pieces, config)
+        , context { loop, wire, settings.zone, config, servers, balancer, repeats, quarantine, backends, router,
             metrics, random,
             [this](const server_entry& server) {
                 checkAlive(server);
@@ -248,6 +251,10 @@
             if (const auto side = openSide(*settings.metrics, metricsService); !side)
                 return side;
         }
+        if (settings.peers) {
+            if (const auto joined = joinPeers(); !joined)
+                return joined;
+        }
         configFollower.start();
         serverFollower.start();
         suspectFollower.start();
@@ -255,6 +262,37 @@
         return {};
     }
 
+    // Takes pieces of other VMs, and shares the pools among all VMs.
+    result<void> joinPeers()
+    {
+        auto opened = http_service::open(loop,
+            { .address = *settings.peers,
+                .limits =
+                    [] {
+                        http_service_limits limits;
+                        limits.idleTimeout = std::chrono::seconds(30); // longer than other VMs keep connections
+                        return limits;
+                    },
+                .handler = [this](const incoming_request& request,
+                               const std::shared_ptr<response_writer>& writer) { gatherer.handle(request, writer); },
+                .onRejected = nullptr });
+        if (!opened)
+            return tl::make_unexpected(opened.error());
+        peerService = std::move(*opened);
+        ownership_options group;
+        group.partitions = settings.storePartitions;
+        ownership = std::make_unique<pool_ownership>(group, *settings.peers, store,
+            ownership_hooks { .now = bootNow,
+                .after = [this](duration delay, std::function<void()> action) { loop.after(delay, std::move(action)); },
+                .onChanged =
+                    [this] {
+                        router.ownersChanged();
+                    } });
+        router.setOwnership(ownership.get());
+        ownership->start();
+        return {};
+    }
+
     // Readiness and metrics; both answer on either address.
     result<void> openSide(const endpoint& address, std::unique_ptr<http_service>& service)
     {
@@ -334,6 +372,8 @@
             { { "requests", std::to_string(sessions.size()) },
                 { "connections", std::to_string(callers->connections()) } });
         callers->beginClosing();
+        if (ownership)
+            ownership->leave();
         loop.after(options.acceptWhileStopping, [this] {
             refusing = true;
             const auto waiting = sessions;
@@ -380,6 +420,9 @@
     crash_quarantine quarantine;
     http_client backends;
     piece_service pieces;
+    piece_router router;
+    piece_gatherer gatherer;
+    std::unique_ptr<pool_ownership> ownership; // none without an address for other VMs
     gateway_context context;
     topic_follower configFollower;
     topic_follower serverFollower;
@@ -387,6 +430,7 @@
     std::unique_ptr<http_service> callers;
     std::unique_ptr<http_service> readinessService;
     std::unique_ptr<http_service> metricsService;
+    std::unique_ptr<http_service> peerService;
     std::set<std::shared_ptr<request_session>> sessions;
     std::set<backend_id> checking;
     std::function<void()> onStopped;
--- a/balsamspring/gateway/gateway_context.h
+++ b/balsamspring/gateway/gateway_context.h
@@ -17,7 +17,7 @@
 
 namespace balsamspring {
 
-class piece_service;
+class piece_router;
 
 struct gateway_context {
     event_loop& loop;
@@ -29,7 +29,7 @@
     repeat_budget& repeats;
     crash_quarantine& quarantine;
     http_client& backends;
-    piece_service& pieces;
+    piece_router& pieces;
     gateway_metrics& metrics;
     random_engine& random;
     // A server may have crashed with the request: tells whether it still accepts connections.
--- /dev/null
+++ b/balsamspring/gateway/piece_gatherer.cc
@@ -0,0 +1,176 @@
+#include "balsamspring/gateway/piece_gatherer.h"
+
+#include "balsamspring/gather_schema/gather.pb.h"
+
+namespace balsamspring {
+
+namespace {
+
+constexpr unsigned okStatus = 200;
+constexpr unsigned badRequest = 400;
+constexpr unsigned unavailable = 503;
+// Each sign of life is one byte before the reply.
+constexpr char progressByte = ' ';
+
+http_head answerHead(unsigned status)
+{
+    http_head head;
+    head.status = status;
+    head.reason = status == okStatus ? "OK" : "Declined";
+    return head;
+}
+
+void addResults(
+    google::protobuf::RepeatedPtrField<schema::gathered_result>& list, const std::vector<piece_result>& results)
+{
+    for (const piece_result& item : results) {
+        auto* added = list.Add();
+        added->set_handle(item.handle);
+        added->set_zone(item.zone.value());
+        added->set_bytes(item.bytes);
+    }
+}
+
+std::vector<piece_result> readResults(const google::protobuf::RepeatedPtrField<schema::gathered_result>& list)
+{
+    std::vector<piece_result> results;
+    for (const auto& item : list)
+        results.push_back({ item.handle(), zone_id(item.zone()), item.bytes() });
+    return results;
+}
+
+std::string encodeReply(const result<std::vector<piece_result>>& outcome)
+{
+    schema::gather_reply reply;
+    if (outcome) {
+        addResults(*reply.mutable_results(), *outcome);
+    } else {
+        reply.set_error(static_cast<std::uint32_t>(outcome.error().code) + 1);
+        reply.set_message(outcome.error().message);
+    }
+    return reply.SerializeAsString();
+}
+
+// A request of another VM while its pieces wait or are worked on.
+struct gathered_work {
+    std::shared_ptr<response_writer> writer;
+    piece_ticket ticket = 0;
+    event_loop::timer_id progressTimer = 0;
+    bool ended = false;
+};
+
+void showProgress(event_loop& loop, duration interval, const std::shared_ptr<gathered_work>& gathered)
+{
+    gathered->progressTimer = loop.after(interval, [&loop, interval, gathered] {
+        if (gathered->ended)
+            return;
+        gathered->writer->write(std::string(1, progressByte));
+        showProgress(loop, interval, gathered);
+    });
+}
+
+} // namespace
+
+std::string encodeGatherRequest(const piece_work& work, mono_time now)
+{
+    schema::gather_request request;
+    request.set_pool(work.pool.value());
+    request.set_request(work.request.value());
+    request.set_stage(static_cast<std::uint32_t>(work.stage));
+    request.set_count(work.count);
+    request.set_result_bytes(work.resultBytes);
+    request.set_key(work.key);
+    for (const std::string& input : work.inputs)
+        request.add_inputs(input);
+    request.set_wanted_in_us((work.wanted - now).count());
+    request.set_deadline_in_us((work.deadline - now).count());
+    request.set_priority(work.priority);
+    return request.SerializeAsString();
+}
+
+gather_answer decodeGatherReply(const std::string& bytes)
+{
+    const auto begin = bytes.find_first_not_of(progressByte);
+    schema::gather_reply reply;
+    if (begin == std::string::npos || !reply.ParseFromString(bytes.substr(begin)))
+        return {};
+    if (reply.error())
+        return { true, makeError(static_cast<error_code>(reply.error() - 1), reply.message()) };
+    return { true, readResults(reply.results()) };
+}
+
+std::string encodeRelease(const pool_id& pool, const std::vector<piece_result>& results)
+{
+    schema::release_request request;
+    request.set_pool(pool.value());
+    addResults(*request.mutable_results(), results);
+    return request.SerializeAsString();
+}
+
+piece_gatherer::piece_gatherer(
+    gatherer_options options, event_loop& loop, piece_service& pieces, const config_state& config)
+    : m_options(options)
+    , m_loop(loop)
+    , m_pieces(pieces)
+    , m_config(config)
+{
+}
+
+void piece_gatherer::handle(const incoming_request& request, const std::shared_ptr<response_writer>& writer)
+{
+    if (request.head.target == gatherPath)
+        return gather(request, writer);
+    if (request.head.target == releasePath)
+        return release(request, writer);
+    writer->send(answerHead(badRequest), {});
+}
+
+void piece_gatherer::gather(const incoming_request& request, const std::shared_ptr<response_writer>& writer)
+{
+    schema::gather_request decoded;
+    if (!decoded.ParseFromString(request.body) || decoded.count() == 0)
+        return writer->send(answerHead(badRequest), {});
+    const auto config = m_config.current();
+    const pool_spec* pool = config ? config->pool(pool_id(decoded.pool())) : nullptr;
+    if (!pool || !pool->pieces)
+        return writer->send(answerHead(unavailable), {});
+    piece_work work;
+    work.pool = pool->id;
+    work.request = request_id(decoded.request());
+    work.stage = decoded.stage();
+    work.count = decoded.count();
+    work.resultBytes = decoded.result_bytes();
+    work.key = decoded.key();
+    work.inputs.assign(decoded.inputs().begin(), decoded.inputs().end());
+    work.wanted = request.received + duration(decoded.wanted_in_us());
+    work.deadline = request.received + duration(decoded.deadline_in_us());
+    work.priority = decoded.priority();
+
+    auto gathered = std::make_shared<gathered_work>();
+    gathered->writer = writer;
+    writer->begin(answerHead(okStatus));
+    gathered->ticket = m_pieces.submit(
+        *pool->pieces, std::move(work), [this, gathered](const result<std::vector<piece_result>>& outcome) {
+            gathered->ended = true;
+            m_loop.cancel(gathered->progressTimer);
+            gathered->writer->write(encodeReply(outcome));
+            gathered->writer->end();
+        });
+    writer->onGone([this, gathered] {
+        gathered->ended = true;
+        m_loop.cancel(gathered->progressTimer);
+        m_pieces.cancel(gathered->ticket);
+    });
+    showProgress(m_loop, m_options.progressInterval, gathered);
+}
+
+void piece_gatherer::release(const incoming_request& request, const std::shared_ptr<response_writer>& writer)
+{
+    schema::release_request decoded;
+    if (!decoded.ParseFromString(request.body))
+        return writer->send(answerHead(badRequest), {});
+    m_pieces.release(pool_id(decoded.pool()), readResults(decoded.results()));
+    writer->send(answerHead(okStatus), {});
+}
+
+} // namespace balsamspring
--- /dev/null
+++ b/balsamspring/gateway/piece_router.cc
@@ -0,0 +1,270 @@
+#include "balsamspring/gateway/piece_router.h"
+
+#include "balsamspring/base/log.h"
+#include "balsamspring/gateway/piece_gatherer.h"
+#include "balsamspring/net/http_exchange.h"
+
+#include <set>
+
+namespace balsamspring {
+
+namespace {
+
+constexpr unsigned okStatus = 200;
+
+struct routed_work {
+    piece_spec spec;
+    piece_work work;
+    piece_callback callback;
+    piece_ticket localTicket = 0;
+    std::shared_ptr<http_exchange> exchange;
+    event_loop::timer_id silenceTimer = 0;
+    endpoint owner;
+    unsigned status = 0;
+    std::string body;
+};
+
+std::string post(const endpoint& peer, std::string_view path, const std::string& body)
+{
+    http_head head;
+    head.method = "POST";
+    head.target = path;
+    head.fields = { { "Host", toString(peer) }, { "Content-Length", std::to_string(body.size()) } };
+    return formatHead(head) + body;
+}
+
+http_client_options peerOptions(const piece_router_options& options)
+{
+    http_client_options peers;
+    peers.connectTimeout = options.connectTimeout;
+    peers.idleLimit = options.idleReuse;
+    return peers;
+}
+
+} // namespace
+
+struct piece_router::state {
+    state(piece_router_options given, event_loop& owner, piece_service& service, gateway_metrics& counters)
+        : options(given)
+        , loop(owner)
+        , local(service)
+        , metrics(counters)
+        , peers(owner, peerOptions(given))
+    {
+    }
+
+    void start(piece_ticket ticket)
+    {
+        routed_work& routed = works.at(ticket);
+        const auto owner = ownership ? ownership->otherOwner(routed.work.pool, bootNow()) : std::nullopt;
+        if (owner)
+            return ask(ticket, *owner);
+        runHere(ticket);
+    }
+
+    void runHere(piece_ticket ticket)
+    {
+        routed_work& routed = works.at(ticket);
+        pools.insert(routed.work.pool);
+        routed.localTicket = local.submit(routed.spec, routed.work,
+            [this, ticket](result<std::vector<piece_result>> outcome) { finish(ticket, std::move(outcome)); });
+        limit(routed.work.pool);
+    }
+
+    void limit(const pool_id& pool)
+    {
+        const bool own = !ownership || ownership->isOwner(pool);
+        local.limitCalls(pool, own ? 0 : options.ownCalls);
+    }
+
+    void ask(piece_ticket ticket, const endpoint& owner)
+    {
+        routed_work& routed = works.at(ticket);
+        routed.owner = owner;
+        exchange_request request;
+        request.bytes = post(owner, gatherPath, encodeGatherRequest(routed.work, bootNow()));
+        request.maxIdle = options.idleReuse;
+        routed.silenceTimer = loop.after(options.silenceLimit, [this, ticket] { fallBack(ticket, "silent"); });
+        auto exchange = peers.start(owner, std::move(request),
+            { .onHead = [this, ticket](const http_head& head) { headArrived(ticket, head.status); },
+                .onBody = [this, ticket](std::string_view bytes) { bodyArrived(ticket, bytes); },
+                .onEnd =
+                    [this, ticket](exchange_end end) {
+                        answered(ticket, end);
+                    } });
+        if (const auto found = works.find(ticket); found != works.end())
+            found->second.exchange = std::move(exchange);
+    }
+
+    void headArrived(piece_ticket ticket, unsigned status)
+    {
+        if (const auto found = works.find(ticket); found != works.end())
+            found->second.status = status;
+        progressed(ticket);
+    }
+
+    void bodyArrived(piece_ticket ticket, std::string_view bytes)
+    {
+        if (const auto found = works.find(ticket); found != works.end())
+            found->second.body += bytes;
+        progressed(ticket);
+    }
+
+    void progressed(piece_ticket ticket)
+    {
+        const auto found = works.find(ticket);
+        if (found == works.end())
+            return;
+        loop.cancel(found->second.silenceTimer);
+        found->second.silenceTimer = loop.after(options.silenceLimit, [this, ticket] { fallBack(ticket, "silent"); });
+    }
+
+    void answered(piece_ticket ticket, exchange_end end)
+    {
+        const auto found = works.find(ticket);
+        if (found == works.end())
+            return;
+        found->second.exchange = nullptr;
+        if (end != exchange_end::Complete)
+            return fallBack(ticket, toString(end));
+        if (found->second.status != okStatus)
+            return fallBack(ticket, "declined");
+        gather_answer answer = decodeGatherReply(found->second.body);
+        if (!answer.readable)
+            return fallBack(ticket, "unreadable");
+        loop.cancel(found->second.silenceTimer);
+        finish(ticket, std::move(answer.outcome));
+    }
+
+    void fallBack(piece_ticket ticket, std::string_view why)
+    {
+        const auto found = works.find(ticket);
+        if (found == works.end())
+            return;
+        routed_work& routed = found->second;
+        loop.cancel(routed.silenceTimer);
+        routed.silenceTimer = 0;
+        if (routed.exchange)
+            routed.exchange->cancel();
+        routed.exchange = nullptr;
+        metrics.count("gather_fallbacks", why);
+        logLine(log_level::Warn, "gatherer_lost",
+            { { "id", routed.work.request.value() }, { "pool", routed.work.pool.value() },
+                { "owner", toString(routed.owner) }, { "why", std::string(why) } });
+        if (why != "declined")
+            ownership->unreachable(routed.owner, bootNow());
+        runHere(ticket);
+    }
+
+    void finish(piece_ticket ticket, result<std::vector<piece_result>> outcome)
+    {
+        const auto found = works.find(ticket);
+        if (found == works.end())
+            return;
+        const piece_callback callback = std::move(found->second.callback);
+        works.erase(found);
+        callback(std::move(outcome));
+    }
+
+    void cancel(piece_ticket ticket)
+    {
+        const auto found = works.find(ticket);
+        if (found == works.end())
+            return;
+        loop.cancel(found->second.silenceTimer);
+        if (found->second.exchange)
+            found->second.exchange->cancel();
+        if (found->second.localTicket)
+            local.cancel(found->second.localTicket);
+        works.erase(found);
+    }
+
+    void release(const pool_id& pool, const std::vector<piece_result>& results)
+    {
+        if (results.empty())
+            return;
+        if (!ownership || !ownership->otherOwner(pool, bootNow()))
+            return local.release(pool, results);
+        auto& waiting = releases[pool];
+        waiting.insert(waiting.end(), results.begin(), results.end());
+        if (releaseTimer)
+            return;
+        releaseTimer = loop.after(options.releaseDelay, [this] {
+            releaseTimer = 0;
+            sendReleases();
+        });
+    }
+
+    // The gatherer frees the results, since it accounts for the room of the servers.
+    void sendReleases()
+    {
+        const auto batches = std::move(releases);
+        releases.clear();
+        for (const auto& [pool, results] : batches) {
+            const auto owner = ownership->otherOwner(pool, bootNow());
+            if (!owner) {
+                local.release(pool, results);
+                continue;
+            }
+            exchange_request request;
+            request.bytes = post(*owner, releasePath, encodeRelease(pool, results));
+            request.maxIdle = options.idleReuse;
+            peers.start(*owner, std::move(request),
+                { .onHead = nullptr,
+                    .onBody = nullptr,
+                    .onEnd = [this, pool = pool, results = results](exchange_end end) {
+                        if (end != exchange_end::Complete)
+                            local.release(pool, results);
+                    } });
+        }
+    }
+
+    piece_router_options options;
+    event_loop& loop;
+    piece_service& local;
+    gateway_metrics& metrics;
+    http_client peers;
+    pool_ownership* ownership = nullptr;
+    std::map<piece_ticket, routed_work> works;
+    std::map<pool_id, std::vector<piece_result>> releases;
+    std::set<pool_id> pools; // that this VM has called itself
+    event_loop::timer_id releaseTimer = 0;
+    piece_ticket nextTicket = 1;
+};
+
+piece_router::piece_router(
+    piece_router_options options, event_loop& loop, piece_service& local, gateway_metrics& metrics)
+    : m_state(std::make_unique<state>(options, loop, local, metrics))
+{
+}
+
+piece_router::~piece_router() = default;
+
+void piece_router::setOwnership(pool_ownership* ownership) { m_state->ownership = ownership; }
+
+void piece_router::ownersChanged()
+{
+    for (const pool_id& pool : m_state->pools)
+        m_state->limit(pool);
+}
+
+piece_ticket piece_router::submit(const piece_spec& spec, piece_work work, piece_callback callback)
+{
+    const piece_ticket ticket = m_state->nextTicket++;
+    routed_work routed;
+    routed.spec = spec;
+    routed.work = std::move(work);
+    routed.callback = std::move(callback);
+    m_state->works.emplace(ticket, std::move(routed));
+    m_state->start(ticket);
+    return ticket;
+}
+
+void piece_router::cancel(piece_ticket ticket) { m_state->cancel(ticket); }
+
+void piece_router::release(const pool_id& pool, const std::vector<piece_result>& results)
+{
+    m_state->release(pool, results);
+}
+
+} // namespace balsamspring
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -386,6 +386,7 @@
     const pool_id id = work.pool;
     const mono_time now = bootNow();
     auto& target = m_state->pool(id, spec);
+    m_state->parts.repeats.requestArrived(id, now);
     active_work active;
     active.results.resize(work.count);
     active.attempts.resize(work.count);
@@ -426,8 +427,10 @@
 void piece_service::limitCalls(const pool_id& pool, unsigned limit)
 {
     const auto found = m_state->pools.find(pool);
-    if (found != m_state->pools.end())
-        found->second.queue.limitCalls(limit);
+    if (found == m_state->pools.end())
+        return;
+    found->second.queue.limitCalls(limit);
+    m_state->pump(pool);
 }
 
 } // namespace balsamspring
--- /dev/null
+++ b/balsamspring/gateway/pool_ownership.cc
@@ -0,0 +1,97 @@
+#include "balsamspring/gateway/pool_ownership.h"
+
+#include "balsamspring/base/hash.h"
+#include "balsamspring/base/log.h"
+
+namespace balsamspring {
+
+pool_ownership::pool_ownership(
+    ownership_options options, endpoint self, const record_store& store, ownership_hooks hooks)
+    : m_options(std::move(options))
+    , m_self(std::move(self))
+    , m_store(store)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void pool_ownership::start() { join(); }
+
+void pool_ownership::leave()
+{
+    m_left = true;
+    std::erase_if(m_owners, [this](const auto& owner) { return owner.second == m_self; });
+    m_hooks.onChanged();
+    m_store.leaveGroup(m_options.group, toString(m_self), [](const result<void>& done) {
+        if (!done)
+            logLine(log_level::Info, "leave_failed", { { "why", done.error().message } });
+    });
+}
+
+void pool_ownership::join()
+{
+    if (m_left)
+        return;
+    m_store.joinGroup(m_options.group, toString(m_self), m_options.topic, m_options.lifetime, m_generation,
+        [this](const result<std::uint64_t>& generation) {
+            if (generation)
+                joined(*generation);
+            m_hooks.after(m_options.joinInterval, [this] { join(); });
+        });
+}
+
+void pool_ownership::joined(std::uint64_t generation)
+{
+    m_generation = generation;
+    if (generation != m_ownersGeneration && !m_left)
+        readOwners(generation);
+}
+
+void pool_ownership::readOwners(std::uint64_t generation)
+{
+    m_store.groupOwners(m_options.group, [this, generation](result<std::vector<partition_owner>> rows) {
+        if (!rows) {
+            logLine(log_level::Info, "owners_unreadable", { { "why", rows.error().message } });
+            return;
+        }
+        m_owners.clear();
+        for (const partition_owner& row : *rows) {
+            if (const auto address = parseEndpoint(row.member))
+                m_owners[row.partition] = *address;
+        }
+        m_ownersGeneration = generation;
+        logLine(log_level::Info, "owners_changed",
+            { { "generation", std::to_string(generation) }, { "partitions", std::to_string(m_owners.size()) } });
+        m_hooks.onChanged();
+    });
+}
+
+const endpoint* pool_ownership::ownerOf(const pool_id& pool) const
+{
+    const auto partition = static_cast<std::uint32_t>(hash64(pool.value()) % m_options.partitions);
+    const auto found = m_owners.find(partition);
+    return found == m_owners.end() ? nullptr : &found->second;
+}
+
+bool pool_ownership::isOwner(const pool_id& pool) const
+{
+    const endpoint* owner = ownerOf(pool);
+    return owner && *owner == m_self;
+}
+
+std::optional<endpoint> pool_ownership::otherOwner(const pool_id& pool, mono_time now) const
+{
+    const endpoint* owner = ownerOf(pool);
+    if (!owner || *owner == m_self)
+        return std::nullopt;
+    const auto failed = m_unreachable.find(*owner);
+    if (failed != m_unreachable.end() && now < failed->second)
+        return std::nullopt;
+    return *owner;
+}
+
+void pool_ownership::unreachable(const endpoint& owner, mono_time now)
+{
+    m_unreachable[owner] = now + m_options.reachPause;
+}
+
+} // namespace balsamspring
--- a/balsamspring/gateway/record_store.h
+++ b/balsamspring/gateway/record_store.h
@@ -50,6 +50,7 @@
     std::function<void(const std::string& group, const std::string& member, const std::string& topic, duration lifetime,
         std::uint64_t generation, reply<std::uint64_t>)>
         joinGroup;
+    std::function<void(const std::string& group, const std::string& member, reply<void>)> leaveGroup;
     std::function<void(const std::string& group, reply<std::vector<partition_owner>>)> groupOwners;
 };
 
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -208,7 +208,6 @@
     work.wanted = m_wanted - timeAfterStage(index);
     work.deadline = m_deadline - timeAfterStage(index);
     work.priority = m_priority;
-    m_context.repeats.requestArrived(spec.pool, bootNow());
     m_stages[index].ticket = m_context.pieces.submit(
         *pool->pieces, std::move(work), [self = shared_from_this(), index](result<std::vector<piece_result>> outcome) {
             self->stageDone(index, std::move(outcome));
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -3,7 +3,7 @@
 
 #include "balsamspring/gateway/event_splitter.h"
 #include "balsamspring/gateway/gateway_context.h"
-#include "balsamspring/gateway/piece_service.h"
+#include "balsamspring/gateway/piece_router.h"
 #include "balsamspring/net/http_service.h"
 
 #include <functional>
--- a/tools/generate_schema.sh
+++ b/tools/generate_schema.sh
@@ -1,9 +1,14 @@
 #!/usr/bin/env bash
-# Regenerates balsamspring/schema from proto/. Needs protobuf-compiler and protobuf-compiler-grpc; the build does not.
+# Regenerates balsamspring/schema and balsamspring/gather_schema from proto/. Needs protobuf-compiler and protobuf-compiler-grpc; the build does not.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=balsamspring/schema
 for file in proto/*.proto; do
+    # The gateway links the lite runtime only.
+    if [ "$file" = proto/gather.proto ]; then
+        protoc --proto_path=proto --cpp_out=balsamspring/gather_schema "$file"
+        continue
+    fi
     protoc --proto_path=proto --cpp_out="$out" "$file"
     if grep -q '^service ' "$file"; then
         protoc --proto_path=proto --grpc_out="$out" --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" "$file"
