Count the room of results as free when their server has answered

Questions to the store cost most of the calls there. Change: room is freed on the server's answer; branches of a request start when no other branch has a longer way to go; the entries of servers are asked for by the drain bound, the configuration with a wait of 1.7 s.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -79,7 +79,7 @@
             } }
         , configFollower({ .topic = decoders.configTopic, .wait = options.configWait, .pause = duration::zero() },
               store, followerHooks("config", [this](const store_record& item) { configRecord(item); }), random)
-        , serverFollower({ .topic = decoders.serverTopic, .wait = duration::zero(), .pause = options.serverPause },
+        , serverFollower({ .topic = decoders.serverTopic, .wait = duration::zero(), .pause = serverPause() },
               store, followerHooks("servers", [this](const store_record& item) { serverRecord(item); }), random)
         , suspectFollower(
               { .topic = std::string(suspectTopic), .wait = options.suspectWait, .pause = duration::zero() }, store,
@@ -87,6 +87,11 @@
     {
     }
 
+    duration serverPause() const
+    {
+        return fromSeconds(toSeconds(settings.drainLimit) * options.serverPauseShare);
+    }
+
     follower_hooks followerHooks(std::string name, std::function<void(const store_record&)> onRecord)
     {
         const bool followsServers = name == "servers";
--- a/balsamspring/gateway/gateway.h
+++ b/balsamspring/gateway/gateway.h
@@ -29,6 +29,7 @@
     endpoint store;
     duration revocationLimit = std::chrono::seconds(5); // a revoked key must not run anything later than this
     bool strictRevocation = true;
+    duration drainLimit = std::chrono::seconds(2); // a server that leaves gets nothing new later than this
     duration stopLimit = std::chrono::seconds(8); // from SIGTERM to SIGKILL
     double repeatRatio = 0.2;
     duration repeatWindow = std::chrono::seconds(10);
@@ -46,8 +47,10 @@
 };
 
 struct gateway_options {
-    duration configWait = std::chrono::milliseconds(1000); // how long the store holds a question for the configuration
-    duration serverPause = std::chrono::milliseconds(400); // between two questions for the entries of servers
+    // How long the store holds a question for the configuration. Two such times and a time-out are below the time that
+    // keys are trusted, so that one lost answer changes nothing.
+    duration configWait = std::chrono::milliseconds(1700);
+    double serverPauseShare = 0.45; // of the drain limit, between two questions for the entries of servers
     duration suspectWait = std::chrono::seconds(20);
     duration revocationMargin = std::chrono::milliseconds(300); // for requests on their way and slow timers
     duration acceptWhileStopping = std::chrono::milliseconds(2800); // callers still arrive until readiness is noticed
--- a/balsamspring/gateway/piece_queue.cc
+++ b/balsamspring/gateway/piece_queue.cc
@@ -112,7 +112,8 @@
         const bool bOnTime = stillOnTime(*b, now);
         return aOnTime != bOnTime ? aOnTime : urgency(*a) < urgency(*b);
     });
-    std::uint64_t room = m_spec.resultRoom > server.kept ? m_spec.resultRoom - server.kept : 0;
+    const auto usable = static_cast<std::uint64_t>(m_options.roomShare * static_cast<double>(m_spec.resultRoom));
+    std::uint64_t room = usable > server.kept ? usable - server.kept : 0;
     for (const auto& group : order) {
         if (filled.pieces >= m_spec.batch)
             break;
--- a/balsamspring/gateway/piece_queue.h
+++ b/balsamspring/gateway/piece_queue.h
@@ -36,6 +36,7 @@
     duration slowMemory = std::chrono::seconds(2); // half-life of what a slow call says about its server
     duration minBlock = std::chrono::milliseconds(300); // doubles with each failure in a row
     duration maxBlock = std::chrono::seconds(2);
+    double roomShare = 0.92; // of a server's room that is used: results are of about the stated size
     duration roomBlock = std::chrono::milliseconds(80); // after an answer that there is no room or no slot
 };
 
--- a/balsamspring/gateway/piece_router.cc
+++ b/balsamspring/gateway/piece_router.cc
@@ -151,8 +151,10 @@
         logLine(log_level::Warn, "gatherer_lost",
             { { "id", routed.work.request.value() }, { "pool", routed.work.pool.value() },
                 { "owner", toString(routed.owner) }, { "why", std::string(why) } });
-        if (why != "declined")
-            ownership->unreachable(routed.owner, bootNow());
+        // One failed call says little about an owner that has just answered others.
+        const mono_time now = bootNow();
+        if (why != "declined" && now - lastAnswer[routed.owner] > options.silenceLimit)
+            ownership->unreachable(routed.owner, now);
         runHere(ticket);
     }
 
@@ -227,6 +229,7 @@
     pool_ownership* ownership = nullptr;
     std::map<piece_ticket, routed_work> works;
     std::map<pool_id, std::vector<piece_result>> releases;
+    std::map<endpoint, mono_time> lastAnswer; // of each owner
     std::set<pool_id> pools; // that this VM has called itself
     event_loop::timer_id releaseTimer = 0;
     piece_ticket nextTicket = 1;
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -20,6 +20,13 @@
     unsigned inCalls = 0;
 };
 
+// Results of one server that are to be freed.
+struct release_batch {
+    pool_id pool;
+    std::vector<std::string> handles;
+    std::uint64_t bytes = 0;
+};
+
 struct sent_piece {
     piece_ticket ticket;
     unsigned piece;
@@ -322,17 +329,16 @@
 
     void release(const pool_id& pool, const std::vector<piece_result>& results)
     {
-        const auto target = pools.find(pool);
         for (const piece_result& item : results) {
             const auto maker = parts.adapter.makerOf(item.handle);
             if (!maker) {
                 logLine(log_level::Warn, "result_unreadable", { { "pool", pool.value() }, { "handle", item.handle } });
                 continue;
             }
-            unfreed[*maker].push_back(item.handle);
-            const server_entry* server = parts.servers.findByAddress(*maker);
-            if (server && target != pools.end())
-                target->second.queue.resultsFreed(server->id, item.bytes);
+            release_batch& batch = unfreed[*maker];
+            batch.pool = pool;
+            batch.handles.push_back(item.handle);
+            batch.bytes += item.bytes;
         }
         if (unfreed.empty() || releaseTimer)
             return;
@@ -342,33 +348,50 @@
         });
     }
 
-    // Results that are not freed expire at their server, so that a lost call only costs room for a while.
+    // Results that are not freed expire at their server, so that a lost call only costs room for a while. Room counts as
+    // free when the server has answered: a call that is sent before would find none.
     void sendReleases()
     {
         const auto batches = std::move(unfreed);
         unfreed.clear();
-        for (const auto& [maker, handles] : batches) {
-            if (!parts.servers.findByAddress(maker))
+        for (const auto& [maker, batch] : batches) {
+            const server_entry* server = parts.servers.findByAddress(maker);
+            if (!server)
                 continue;
             exchange_request request;
-            request.bytes = parts.adapter.encodeRelease(maker, handles);
+            request.bytes = parts.adapter.encodeRelease(maker, batch.handles);
             request.maxIdle = options.idleReuse;
-            parts.backends.start(
-                maker, std::move(request), { .onHead = nullptr, .onBody = nullptr, .onEnd = [this](exchange_end end) {
-                                                parts.metrics.count("releases", toString(end));
-                                            } });
+            parts.backends.start(maker, std::move(request),
+                { .onHead = nullptr,
+                    .onBody = nullptr,
+                    .onEnd = [this, pool = batch.pool, id = server->id, bytes = batch.bytes](exchange_end end) {
+                        released(pool, id, bytes, end);
+                    } });
         }
-        for (auto& [id, target] : pools) {
-            if (target.queue.waitingGroups() > 0)
-                pump(id);
+    }
+
+    void released(const pool_id& pool, const backend_id& server, std::uint64_t bytes, exchange_end end)
+    {
+        parts.metrics.count("releases", toString(end));
+        const auto target = pools.find(pool);
+        if (target == pools.end())
+            return;
+        if (end == exchange_end::Complete) {
+            target->second.queue.resultsFreed(server, bytes);
+            return pump(pool);
         }
+        parts.loop.after(target->second.queue.spec().resultLifetime, [this, pool, server, bytes] {
+            const auto found = pools.find(pool);
+            if (found != pools.end())
+                found->second.queue.resultsFreed(server, bytes);
+        });
     }
 
     piece_service_options options;
     piece_service_parts parts;
     std::map<pool_id, pool_state> pools;
     std::map<piece_ticket, active_work> works;
-    std::map<endpoint, std::vector<std::string>> unfreed;
+    std::map<endpoint, release_batch> unfreed; // by the server that keeps them
     event_loop::timer_id releaseTimer = 0;
     piece_ticket nextTicket = 1;
 };
--- a/balsamspring/gateway/piece_service.h
+++ b/balsamspring/gateway/piece_service.h
@@ -45,7 +45,7 @@
 
 struct piece_service_options {
     unsigned attempts = 3; // calls that one piece may be part of
-    duration releaseDelay = std::chrono::milliseconds(60); // results are freed together
+    duration releaseDelay = std::chrono::milliseconds(15); // results are freed together
     duration idleReuse = std::chrono::seconds(3);
     piece_queue_options queue;
 };
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -165,6 +165,15 @@
                 m_stages[input].readers += 1;
         }
     }
+    // The configuration lists a stage behind those that it needs.
+    for (std::size_t i = m_stages.size(); i > 0; --i) {
+        if (m_request.pieceCounts[i - 1] == 0)
+            continue;
+        for (const std::size_t input : m_route->stages[i - 1].after) {
+            if (input < i - 1)
+                m_stages[input].level = std::max(m_stages[input].level, m_stages[i - 1].level + 1);
+        }
+    }
 }
 
 void request_session::submitReadyStages()
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -47,6 +47,7 @@
         bool done = false;
         bool released = false;
         unsigned readers = 0; // stages that still need the results
+        unsigned level = 0; // stages that follow, on the longest way to the end
         std::vector<piece_result> results;
     };
 
@@ -60,6 +61,7 @@
     // Stages.
     void prepareStages();
     void submitReadyStages();
+    bool stageIsDue(std::size_t index) const;
     void submitStage(std::size_t index);
     void stageDone(std::size_t index, result<std::vector<piece_result>> outcome);
     bool isFinalStage(std::size_t index) const;
--- a/balsamspring/gateway/topic_follower.cc
+++ b/balsamspring/gateway/topic_follower.cc
@@ -64,7 +64,9 @@
 void topic_follower::readTail()
 {
     const mono_time askedAt = m_hooks.now();
-    m_store.readFrom(m_options.topic, m_next, m_options.wait, [this, askedAt](result<record_page> page) {
+    // After a failure the answer matters more than the number of calls.
+    const duration wait = m_lost ? duration::zero() : m_options.wait;
+    m_store.readFrom(m_options.topic, m_next, wait, [this, askedAt](result<record_page> page) {
         if (page) {
             answered();
             return tailArrived(*page, askedAt);
