Run pieces in the zone of their inputs when a server there is free soon

Change: a group of pieces prefers servers in the zone of its inputs and waits at most 40 ms for one; engines with a cached prefix get less headroom over the average (0.7 requests instead of 3).

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -79,18 +79,15 @@
             } }
         , configFollower({ .topic = decoders.configTopic, .wait = options.configWait, .pause = duration::zero() },
               store, followerHooks("config", [this](const store_record& item) { configRecord(item); }), random)
-        , serverFollower({ .topic = decoders.serverTopic, .wait = duration::zero(), .pause = serverPause() },
-              store, followerHooks("servers", [this](const store_record& item) { serverRecord(item); }), random)
+        , serverFollower({ .topic = decoders.serverTopic, .wait = duration::zero(), .pause = serverPause() }, store,
+              followerHooks("servers", [this](const store_record& item) { serverRecord(item); }), random)
         , suspectFollower(
               { .topic = std::string(suspectTopic), .wait = options.suspectWait, .pause = duration::zero() }, store,
               followerHooks("suspects", [this](const store_record& item) { suspectRecord(item); }), random)
     {
     }
 
-    duration serverPause() const
-    {
-        return fromSeconds(toSeconds(settings.drainLimit) * options.serverPauseShare);
-    }
+    duration serverPause() const { return fromSeconds(toSeconds(settings.drainLimit) * options.serverPauseShare); }
 
     follower_hooks followerHooks(std::string name, std::function<void(const store_record&)> onRecord)
     {
--- a/balsamspring/gateway/piece_gatherer.cc
+++ b/balsamspring/gateway/piece_gatherer.cc
@@ -85,6 +85,7 @@
     request.set_wanted_in_us((work.wanted - now).count());
     request.set_deadline_in_us((work.deadline - now).count());
     request.set_priority(work.priority);
+    request.set_input_zone(work.inputZone.value());
     return request.SerializeAsString();
 }
 
@@ -145,6 +146,7 @@
     work.wanted = request.received + duration(decoded.wanted_in_us());
     work.deadline = request.received + duration(decoded.deadline_in_us());
     work.priority = decoded.priority();
+    work.inputZone = zone_id(decoded.input_zone());
 
     auto gathered = std::make_shared<gathered_work>();
     gathered->writer = writer;
--- a/balsamspring/gateway/piece_queue.cc
+++ b/balsamspring/gateway/piece_queue.cc
@@ -61,25 +61,33 @@
 {
     if (m_groups.empty() || (m_callLimit > 0 && m_inProgress >= m_callLimit))
         return std::nullopt;
-    const server_entry* server = freeServer(servers, now);
-    if (!server)
-        return std::nullopt;
-    call filled { server->id, {}, 0 };
-    server_state& state = m_servers[server->id];
-    fill(filled, state, now);
-    if (filled.pieces == 0) { // no room for any result: ask again when some were freed
-        state.blockedUntil = now + m_options.roomBlock;
-        return next(servers, now);
+    std::set<zone_id> zones;
+    for (const server_entry* server : servers) {
+        const auto found = m_servers.find(server->id);
+        if (found == m_servers.end() || now >= found->second.blockedUntil)
+            zones.insert(server->zone);
     }
-    state.calls += 1;
-    m_inProgress += 1;
-    return filled;
+    for (const server_entry* server : freeServers(servers, now)) {
+        call filled { server->id, {}, 0 };
+        fill(filled, *server, zones, now);
+        if (filled.pieces == 0) // no room for any result, or none of its zone waits
+            continue;
+        m_servers[server->id].calls += 1;
+        m_inProgress += 1;
+        return filled;
+    }
+    return std::nullopt;
 }
 
-const server_entry* piece_queue::freeServer(server_list servers, mono_time now) const
+// Best first.
+std::vector<const server_entry*> piece_queue::freeServers(server_list servers, mono_time now) const
 {
-    const server_entry* best = nullptr;
-    double bestFactor = 0;
+    struct candidate {
+        const server_entry* server;
+        double slowness;
+        std::uint64_t kept;
+    };
+    std::vector<candidate> open;
     std::size_t fastServers = 0;
     for (const server_entry* server : servers) {
         const auto found = m_servers.find(server->id);
@@ -87,31 +95,51 @@
         const double slowness = factor(state, now);
         if (slowness < m_options.slowFactor && now >= state.blockedUntil)
             fastServers += 1;
-        if (state.calls >= m_spec.slots || now < state.blockedUntil)
-            continue;
-        // Of equally fast servers the one with most room.
-        const double score
-            = slowness + 0.01 * static_cast<double>(state.kept) / (1.0 + static_cast<double>(m_spec.resultRoom));
-        if (!best || score < bestFactor) {
-            best = server;
-            bestFactor = score;
-        }
+        if (state.calls < m_spec.slots && now >= state.blockedUntil)
+            open.push_back({ server, slowness, state.kept });
     }
-    if (best && bestFactor >= m_options.slowFactor && m_waiting <= fastServers * m_spec.batch)
-        return nullptr;
-    return best;
+    const bool fastSuffice = m_waiting <= fastServers * m_spec.batch;
+    std::erase_if(open, [&](const candidate& item) { return fastSuffice && item.slowness >= m_options.slowFactor; });
+    // Of equally fast servers the one with most room.
+    std::sort(open.begin(), open.end(), [&](const candidate& a, const candidate& b) {
+        const bool aSlow = a.slowness >= m_options.slowFactor;
+        const bool bSlow = b.slowness >= m_options.slowFactor;
+        return aSlow != bSlow ? bSlow : a.kept < b.kept;
+    });
+    std::vector<const server_entry*> ordered;
+    for (const candidate& item : open)
+        ordered.push_back(item.server);
+    return ordered;
+}
+
+bool piece_queue::mayRunIn(
+    const piece_group& group, const zone_id& zone, const std::set<zone_id>& zones, mono_time now) const
+{
+    if (group.inputZone.value().empty() || group.inputZone == zone || !zones.contains(group.inputZone))
+        return true;
+    const duration patience = m_options.zonePatience;
+    return now - group.since >= patience
+        || now + patience + expectedTime(std::min(group.count, m_spec.batch)) > group.wanted;
 }
 
-void piece_queue::fill(call& filled, const server_state& server, mono_time now)
+void piece_queue::fill(call& filled, const server_entry& target, const std::set<zone_id>& zones, mono_time now)
 {
     std::vector<std::list<piece_group>::iterator> order;
-    for (auto group = m_groups.begin(); group != m_groups.end(); ++group)
-        order.push_back(group);
+    for (auto group = m_groups.begin(); group != m_groups.end(); ++group) {
+        if (mayRunIn(*group, target.zone, zones, now))
+            order.push_back(group);
+    }
+    const auto foreign = [&](const piece_group& group) {
+        return !group.inputZone.value().empty() && group.inputZone != target.zone;
+    };
     std::stable_sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
         const bool aOnTime = stillOnTime(*a, now);
         const bool bOnTime = stillOnTime(*b, now);
-        return aOnTime != bOnTime ? aOnTime : urgency(*a) < urgency(*b);
+        if (aOnTime != bOnTime)
+            return aOnTime;
+        return foreign(*a) != foreign(*b) ? foreign(*b) : urgency(*a) < urgency(*b);
     });
+    const server_state& server = m_servers[target.id];
     const auto usable = static_cast<std::uint64_t>(m_options.roomShare * static_cast<double>(m_spec.resultRoom));
     std::uint64_t room = usable > server.kept ? usable - server.kept : 0;
     for (const auto& group : order) {
--- a/balsamspring/gateway/piece_queue.h
+++ b/balsamspring/gateway/piece_queue.h
@@ -13,6 +13,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -28,6 +29,8 @@
     mono_time wanted {}; // the request is on time if the pieces are done then
     mono_time deadline {}; // later results are of no use
     unsigned priority = 0; // 0 is the most urgent
+    zone_id inputZone; // where most bytes of the inputs lie; empty: it does not matter
+    mono_time since {}; // when the group began to wait
 };
 
 struct piece_queue_options {
@@ -36,6 +39,8 @@
     duration slowMemory = std::chrono::seconds(2); // half-life of what a slow call says about its server
     duration minBlock = std::chrono::milliseconds(300); // doubles with each failure in a row
     duration maxBlock = std::chrono::seconds(2);
+    // How long pieces wait for a server in the zone of their inputs: each piece fetches all of them.
+    duration zonePatience = std::chrono::milliseconds(40);
     double roomShare = 0.92; // of a server's room that is used: results are of about the stated size
     duration roomBlock = std::chrono::milliseconds(80); // after an answer that there is no room or no slot
 };
@@ -101,8 +106,9 @@
     };
 
     double factor(const server_state& server, mono_time now) const;
-    const server_entry* freeServer(server_list servers, mono_time now) const;
-    void fill(call& filled, const server_state& server, mono_time now);
+    std::vector<const server_entry*> freeServers(server_list servers, mono_time now) const;
+    void fill(call& filled, const server_entry& server, const std::set<zone_id>& zones, mono_time now);
+    bool mayRunIn(const piece_group& group, const zone_id& zone, const std::set<zone_id>& zones, mono_time now) const;
     void release(server_state& server);
     mono_time urgency(const piece_group& group) const;
     bool stillOnTime(const piece_group& group, mono_time now) const;
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -80,7 +80,9 @@
             .resultBytes = active.work.resultBytes,
             .wanted = active.work.wanted,
             .deadline = active.work.deadline,
-            .priority = active.work.priority };
+            .priority = active.work.priority,
+            .inputZone = active.work.inputZone,
+            .since = bootNow() };
     }
 
     void pump(const pool_id& id)
@@ -196,6 +198,11 @@
         const auto count = static_cast<unsigned>(call.pieces.size());
         target.queue.succeeded(call.server.id, count, now - call.sentAt, now);
         parts.metrics.observe("stage_call", "served", now - call.sentAt);
+        logLine(log_level::Info, "stage_call_done",
+            { { "pool", call.pool.value() }, { "server", call.server.id.value() }, { "pieces", std::to_string(count) },
+                { "elapsed_ms", fmt::format("{:.0f}", toSeconds(now - call.sentAt) * 1000) },
+                { "waiting", std::to_string(target.queue.waitingPieces()) },
+                { "in_progress", std::to_string(target.queue.callsInProgress()) } });
         std::vector<piece_result> unwanted;
         std::set<piece_ticket> touched;
         for (std::size_t i = 0; i < outcomes.size(); ++i) {
@@ -348,8 +355,8 @@
         });
     }
 
-    // Results that are not freed expire at their server, so that a lost call only costs room for a while. Room counts as
-    // free when the server has answered: a call that is sent before would find none.
+    // Results that are not freed expire at their server, so that a lost call only costs room for a while. Room counts
+    // as free when the server has answered: a call that is sent before would find none.
     void sendReleases()
     {
         const auto batches = std::move(unfreed);
--- a/balsamspring/gateway/piece_service.h
+++ b/balsamspring/gateway/piece_service.h
@@ -26,6 +26,7 @@
     std::uint64_t resultBytes = 0; // of one piece
     std::string key; // stages without inputs
     std::vector<std::string> inputs;
+    zone_id inputZone; // of most bytes of the inputs; empty: it does not matter
     mono_time wanted {}; // as in piece_group
     mono_time deadline {};
     unsigned priority = 0;
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -212,6 +212,7 @@
         for (const piece_result& item : m_stages[input].results)
             work.inputs.push_back(item.handle);
     }
+    work.inputZone = zoneOfResults(spec.after);
     if (work.inputs.empty())
         work.key = m_request.pieceKey;
     work.wanted = m_wanted - timeAfterStage(index);
@@ -293,26 +294,31 @@
         releaseStage(i);
 }
 
+std::vector<std::size_t> request_session::finalStages() const
+{
+    std::vector<std::size_t> stages;
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        if (m_request.pieceCounts[i] > 0 && isFinalStage(i))
+            stages.push_back(i);
+    }
+    return stages;
+}
+
 std::vector<std::string> request_session::finalInputs() const
 {
     std::vector<std::string> handles;
-    for (std::size_t i = 0; i < m_stages.size(); ++i) {
-        if (m_request.pieceCounts[i] == 0 || !isFinalStage(i))
-            continue;
-        for (const piece_result& item : m_stages[i].results)
+    for (const std::size_t stage : finalStages()) {
+        for (const piece_result& item : m_stages[stage].results)
             handles.push_back(item.handle);
     }
     return handles;
 }
 
-// The availability zone in which most bytes of the results lie; empty when there are none.
-zone_id request_session::zoneOfResults() const
+zone_id request_session::zoneOfResults(const std::vector<std::size_t>& stages) const
 {
     std::map<zone_id, std::uint64_t> bytes;
-    for (std::size_t i = 0; i < m_stages.size(); ++i) {
-        if (m_request.pieceCounts[i] == 0 || !isFinalStage(i))
-            continue;
-        for (const piece_result& item : m_stages[i].results)
+    for (const std::size_t stage : stages) {
+        for (const piece_result& item : m_stages[stage].results)
             bytes[item.zone] += item.bytes;
     }
     const auto most = std::max_element(
@@ -345,7 +351,7 @@
             allowed.push_back(server);
     }
     if (engine)
-        return m_context.balancer.chooseForPrefix(allowed, m_tried, prefixHash(), zoneOfResults(), now);
+        return m_context.balancer.chooseForPrefix(allowed, m_tried, prefixHash(), zoneOfResults(finalStages()), now);
     return m_context.balancer.choose(allowed, m_tried, now);
 }
 
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -70,7 +70,9 @@
     void releaseStage(std::size_t index);
     void releaseFinalResults();
     std::vector<std::string> finalInputs() const;
-    zone_id zoneOfResults() const;
+    // The availability zone in which most bytes of the results of these stages lie; empty when there are none.
+    zone_id zoneOfResults(const std::vector<std::size_t>& stages) const;
+    std::vector<std::size_t> finalStages() const;
 
     // The call.
     void send();
--- a/balsamspring/gateway/server_balancer.h
+++ b/balsamspring/gateway/server_balancer.h
@@ -30,7 +30,7 @@
     duration maxBlock = std::chrono::seconds(3);
     duration fullBlock = std::chrono::milliseconds(60); // after an answer that the server is full
     // Of engines: requests above the average of the candidates that a server with a cached prefix may have.
-    double affinityHeadroom = 3;
+    double affinityHeadroom = 0.7;
 };
 
 class server_balancer {
