--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -618,6 +618,9 @@
 
 void request_session::refuse(unsigned status, std::string_view reason)
 {
+    // A status can no longer be sent; the caller may resume the stream.
+    if (m_answerStarted)
+        return breakOff(reason);
     const bool promise = promisesNotRun(status);
     const std::optional<duration> after = promise ? std::optional(retryAfter()) : std::nullopt;
     const std::optional<request_id> id = m_request.id.value().empty() ? std::nullopt : std::optional(m_request.id);
