--- a/balsamspring/gateway/gateway_test.cc
+++ b/balsamspring/gateway/gateway_test.cc
@@ -0,0 +1,439 @@
+#include "balsamspring/gateway/config_state.h"
+#include "balsamspring/gateway/event_splitter.h"
+#include "balsamspring/gateway/log_buffer.h"
+#include "balsamspring/gateway/pool_ownership.h"
+#include "balsamspring/gateway/repeat_budget.h"
+#include "balsamspring/gateway/server_balancer.h"
+#include "balsamspring/gateway/server_registry.h"
+#include "balsamspring/gateway/serving_config.h"
+#include "balsamspring/gateway/topic_follower.h"
+
+#include <deque>
+
+#include <catch2/catch.hpp>
+
+using namespace balsamspring;
+using namespace std::chrono_literals;
+
+namespace {
+
+const mono_time start { 1h };
+
+server_entry makeServer(const std::string& id, const std::string& zone = "z1", const std::string& pool = "pool")
+{
+    server_entry entry;
+    entry.id = backend_id(id);
+    entry.pool = pool_id(pool);
+    entry.address = { "10.0.0.1", static_cast<std::uint16_t>(8000 + id.back()) };
+    entry.zone = zone_id(zone);
+    return entry;
+}
+
+std::shared_ptr<const serving_config> makeConfig(std::uint64_t version)
+{
+    serving_config_data data;
+    data.version = config_version(version);
+    return std::make_shared<const serving_config>(std::move(data));
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    serving_config_data data;
+    for (const auto& [name, host, prefix] : { std::tuple("short", "a.example", "/x/"),
+             std::tuple("long", "a.example", "/x/y/"), std::tuple("other", "b.example", "/") }) {
+        route_spec route;
+        route.name = name;
+        route.host = host;
+        route.pathPrefix = prefix;
+        data.routes.push_back(route);
+    }
+    const serving_config config(std::move(data));
+    CHECK(config.match("a.example", "/x/y/1")->name == "long");
+    CHECK(config.match("A.Example:8080", "/x/1?q=/x/y/")->name == "short");
+    CHECK(config.match("a.example", "/x") == nullptr);
+    CHECK(config.match("c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("a version never goes back and keys are trusted only after a proof")
+{
+    config_state state({ .keyTrust = 4700ms, .strictRevocation = true });
+    CHECK_FALSE(state.keysTrusted(start));
+    CHECK(state.offer(makeConfig(5)));
+    CHECK_FALSE(state.offer(makeConfig(4)));
+    CHECK_FALSE(state.offer(makeConfig(5)));
+    CHECK(state.current()->version() == config_version(5));
+    state.confirm(start);
+    CHECK(state.keysTrusted(start + 4700ms));
+    CHECK_FALSE(state.keysTrusted(start + 4701ms));
+    // A late answer to an older question proves nothing about the time after it.
+    state.confirm(start - 1s);
+    CHECK_FALSE(state.keysTrusted(start + 4701ms));
+}
+
+TEST_CASE("servers are kept under their own id")
+{
+    // The first gateway kept all entries under a moved-from id, and had one server.
+    server_registry servers({}, [](const server_entry&, server_change) {});
+    servers.put(makeServer("s1"), start);
+    servers.put(makeServer("s2"), start);
+    CHECK(servers.usable(pool_id("pool")).size() == 2);
+    REQUIRE(servers.find(backend_id("s1")));
+    CHECK(servers.find(backend_id("s1"))->id == backend_id("s1"));
+}
+
+TEST_CASE("a server that drains or has left gets nothing new")
+{
+    std::vector<server_change> changes;
+    server_registry servers({}, [&](const server_entry&, server_change change) { changes.push_back(change); });
+    servers.put(makeServer("s1"), start);
+    servers.put(makeServer("s2"), start);
+    server_entry draining = makeServer("s1");
+    draining.draining = true;
+    servers.put(draining, start);
+    CHECK(servers.usable(pool_id("pool")).size() == 1);
+    servers.remove(backend_id("s2"), start);
+    CHECK(servers.usable(pool_id("pool")).empty());
+    CHECK(changes
+        == std::vector { server_change::Added, server_change::Added, server_change::Draining, server_change::Removed });
+}
+
+TEST_CASE("entries that lapsed with the store are kept until they are back or gone")
+{
+    server_registry servers({}, [](const server_entry&, server_change) {});
+    servers.put(makeServer("s1"), start);
+    servers.put(makeServer("s2"), start);
+    servers.storeLost(start + 1s);
+    servers.storeRegained(5s, start + 6s);
+    servers.remove(backend_id("s1"), start + 6s);
+    servers.remove(backend_id("s2"), start + 6s);
+    CHECK(servers.usable(pool_id("pool")).size() == 2);
+    servers.put(makeServer("s1"), start + 7s);
+    servers.expire(start + 8s);
+    CHECK(servers.usable(pool_id("pool")).size() == 2);
+    servers.expire(start + 8200ms);
+    REQUIRE(servers.usable(pool_id("pool")).size() == 1);
+    CHECK(servers.usable(pool_id("pool"))[0]->id == backend_id("s1"));
+    // Without an outage a removal counts at once.
+    servers.remove(backend_id("s1"), start + 20s);
+    CHECK(servers.usable(pool_id("pool")).empty());
+}
+
+TEST_CASE("a server that was known to drain does not come back by lapsing")
+{
+    server_registry servers({}, [](const server_entry&, server_change) {});
+    server_entry draining = makeServer("s1");
+    draining.draining = true;
+    servers.put(draining, start);
+    servers.storeLost(start + 1s);
+    servers.remove(backend_id("s1"), start + 2s);
+    CHECK(servers.find(backend_id("s1")) == nullptr);
+}
+
+TEST_CASE("a second start under one id is told apart")
+{
+    std::vector<server_change> changes;
+    server_registry servers({}, [&](const server_entry&, server_change change) { changes.push_back(change); });
+    server_entry entry = makeServer("s1");
+    entry.startedAtMs = 1000;
+    servers.put(entry, start);
+    servers.put(entry, start);
+    entry.startedAtMs = 2000;
+    servers.put(entry, start);
+    CHECK(changes == std::vector { server_change::Added, server_change::Restarted });
+}
+
+TEST_CASE("VMs that spend their own share keep the common budget whatever their shares of the traffic")
+{
+    // All VMs repeat as much as they may while every server fails. The bound is the platform's, over all VMs.
+    constexpr std::size_t vmCount = 9;
+    const repeat_budget_options options { .ratio = 0.2, .window = 10s, .slack = 58 };
+    std::vector<repeat_budget> budgets(vmCount, repeat_budget(options));
+    std::deque<mono_time> requests;
+    std::deque<mono_time> repeats;
+    const pool_id pool("pool");
+    random_engine random(7);
+    for (int step = 0; step < 60'000; ++step) {
+        const mono_time now = start + 1ms * step;
+        const double rate = step < 20'000 ? 0.02 : step < 30'000 ? 0.15 : 0.01; // requests per ms
+        if (uniform(random) < rate) {
+            const std::size_t vm = std::min<std::size_t>(vmCount - 1, static_cast<std::size_t>(exponential(random, 2)));
+            budgets[vm].requestArrived(pool, now);
+            requests.push_back(now);
+        }
+        for (repeat_budget& budget : budgets) {
+            if (budget.trySpend(pool, now))
+                repeats.push_back(now);
+        }
+        while (!requests.empty() && requests.front() < now - options.window)
+            requests.pop_front();
+        while (!repeats.empty() && repeats.front() < now - options.window)
+            repeats.pop_front();
+        REQUIRE(static_cast<double>(repeats.size())
+            <= options.ratio * static_cast<double>(requests.size()) + options.slack);
+    }
+}
+
+TEST_CASE("a server that fails is left alone for a while, and tried before nothing")
+{
+    random_engine random(1);
+    server_balancer balancer({}, zone_id("z1"), random);
+    const server_entry first = makeServer("s1");
+    const server_entry second = makeServer("s2");
+    const std::vector<const server_entry*> servers { &first, &second };
+    balancer.started(first.id);
+    balancer.failed(first.id, call_failure::NotReached, start);
+    for (int i = 0; i < 20; ++i)
+        CHECK(balancer.choose(servers, {}, start) == &second);
+    CHECK(balancer.choose(servers, { second.id }, start) == &first);
+    CHECK(balancer.choose(servers, { first.id, second.id }, start) == nullptr);
+    CHECK_FALSE(balancer.blocked(first.id, start + 400ms));
+}
+
+TEST_CASE("one lost answer does not block a server, two in a row do")
+{
+    random_engine random(1);
+    server_balancer balancer({}, zone_id("z1"), random);
+    const backend_id server("s1");
+    balancer.started(server);
+    balancer.failed(server, call_failure::Lost, start);
+    CHECK_FALSE(balancer.blocked(server, start));
+    balancer.started(server);
+    balancer.failed(server, call_failure::Silent, start);
+    CHECK(balancer.blocked(server, start));
+}
+
+TEST_CASE("requests with one prefix meet on one engine until it has more than its share")
+{
+    random_engine random(1);
+    server_balancer here({}, zone_id("z1"), random);
+    server_balancer there({}, zone_id("z2"), random);
+    std::vector<server_entry> engines;
+    for (int i = 1; i <= 6; ++i)
+        engines.push_back(makeServer("e" + std::to_string(i), i <= 3 ? "z1" : "z2"));
+    std::vector<const server_entry*> servers;
+    for (const server_entry& engine : engines)
+        servers.push_back(&engine);
+    for (std::uint64_t prefix = 0; prefix < 50; ++prefix) {
+        // Two VMs agree without asking each other.
+        const server_entry* chosen = here.chooseForPrefix(servers, {}, prefix, {}, start);
+        CHECK(there.chooseForPrefix(servers, {}, prefix, {}, start) == chosen);
+        CHECK(here.chooseForPrefix(servers, {}, prefix, zone_id("z2"), start)->zone == zone_id("z2"));
+    }
+    const server_entry* favourite = here.chooseForPrefix(servers, {}, 1, {}, start);
+    for (int i = 0; i < 5; ++i)
+        here.started(favourite->id);
+    CHECK(here.chooseForPrefix(servers, {}, 1, {}, start) != favourite);
+}
+
+TEST_CASE("events are split alike however their bytes are cut")
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nversion: 7\nid: 3\ndata: c\n\n";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        event_splitter splitter;
+        auto events = splitter.feed(text.substr(0, cut));
+        for (auto& event : splitter.feed(text.substr(cut)))
+            events.push_back(event);
+        REQUIRE(events.size() == 3);
+        CHECK(events[1].id == "2");
+        CHECK(events[2].id == "3");
+        CHECK_FALSE(splitter.insideEvent());
+    }
+    event_splitter cutInside;
+    cutInside.feed("id: 4\ndat");
+    CHECK(cutInside.insideEvent());
+}
+
+TEST_CASE("a stream that goes on at another server repeats nothing and leaves nothing out")
+{
+    event_sequence events;
+    const auto event = [](const std::string& id) {
+        return stream_event { "id: " + id + "\n\n", id };
+    };
+    events.resumeAfter("4");
+    CHECK(events.check(event("6")) == event_order::Gap);
+    CHECK(events.check(event("4")) == event_order::Repeated);
+    CHECK(events.check(event("5")) == event_order::Follows);
+    events.delivered(event("5"));
+    // A server may leave out numbers within its own stream.
+    CHECK(events.check(event("8")) == event_order::Follows);
+    events.delivered(event("8"));
+    events.beginPart();
+    CHECK(events.check(event("10")) == event_order::Gap);
+}
+
+TEST_CASE("warnings are kept before successes and the loss is counted")
+{
+    std::string written;
+    log_buffer buffer(
+        { .capacity = 100, .infoShare = 0.5, .infoLinesPerSecond = 1000, .burst = 1000 }, [&](std::string_view bytes) {
+            written += bytes;
+            return bytes.size();
+        });
+    for (int i = 0; i < 10; ++i)
+        buffer.add(log_level::Info, "0123456789", start);
+    buffer.add(log_level::Warn, "a warning.", start);
+    CHECK(buffer.takeDropped() == 5);
+    buffer.flush();
+    CHECK(written.size() == 60);
+    CHECK(written.ends_with("a warning."));
+}
+
+namespace {
+
+// A store whose answers the test gives one by one, and a clock that it moves.
+struct scripted_store {
+    scripted_store()
+    {
+        store.readNewest
+            = [this](const std::string&, const std::string& after, record_store::reply<newest_page> reply) {
+                  calls.push_back("newest " + after);
+                  newest = std::move(reply);
+              };
+        store.readFrom
+            = [this](const std::string&, std::uint64_t from, duration wait, record_store::reply<record_page> reply) {
+                  calls.push_back("read " + std::to_string(from) + (wait > 0ms ? " wait" : ""));
+                  tail = std::move(reply);
+              };
+    }
+
+    follower_hooks hooks()
+    {
+        return { .now = [this] { return now; },
+            .after = [this](duration, std::function<void()> action) { later = std::move(action); },
+            .onRecord = [this](const store_record& record) { seen.push_back(record.key + (record.value ? "+" : "-")); },
+            .onMissing = [this](const std::string& key) { seen.push_back(key + "?"); },
+            .onCurrent = [this](mono_time askedAt) { confirmedAt = askedAt; },
+            .onLost = [this](const error&) { lost += 1; },
+            .onRegained =
+                [this](duration) {
+                    regained += 1;
+                } };
+    }
+
+    void answerTail(result<record_page> page)
+    {
+        const auto reply = std::move(tail);
+        reply(std::move(page));
+    }
+
+    void answerNewest(result<newest_page> page)
+    {
+        const auto reply = std::move(newest);
+        reply(std::move(page));
+    }
+
+    record_store store;
+    record_store::reply<newest_page> newest;
+    record_store::reply<record_page> tail;
+    std::function<void()> later;
+    std::vector<std::string> calls;
+    std::vector<std::string> seen;
+    mono_time now = start;
+    mono_time confirmedAt {};
+    int lost = 0;
+    int regained = 0;
+};
+
+} // namespace
+
+TEST_CASE("the follower proves the present state by the time at which it asked")
+{
+    scripted_store script;
+    random_engine random(1);
+    topic_follower follower({ .topic = "t", .wait = 2s }, script.store, script.hooks(), random);
+    follower.start();
+    script.answerNewest(newest_page { { { "a", "1", 3 } }, false, 7 });
+    CHECK(script.calls.back() == "read 7 wait");
+    script.now += 2s;
+    script.answerTail(record_page { {}, 7 });
+    CHECK(script.confirmedAt == start);
+}
+
+TEST_CASE("records that change between two pages of a snapshot are read again")
+{
+    scripted_store script;
+    random_engine random(1);
+    topic_follower follower({ .topic = "t", .wait = 2s }, script.store, script.hooks(), random);
+    follower.start();
+    script.answerNewest(newest_page { { { "a", "1", 3 } }, true, 7 });
+    CHECK(script.calls.back() == "newest a");
+    // "b" was written at offset 8, behind the end that the first page saw.
+    script.answerNewest(newest_page { { { "b", "2", 8 } }, false, 9 });
+    CHECK(script.calls.back() == "read 7 wait");
+    script.answerTail(record_page { { { "a", std::nullopt, 7 }, { "b", "2", 8 } }, 9 });
+    CHECK(script.seen == std::vector<std::string> { "a+", "b+", "a-", "b+" });
+}
+
+TEST_CASE("lost history leads to a new snapshot that names what is missing")
+{
+    scripted_store script;
+    random_engine random(1);
+    topic_follower follower({ .topic = "t", .wait = 2s }, script.store, script.hooks(), random);
+    follower.start();
+    script.answerNewest(newest_page { { { "a", "1", 3 }, { "b", "1", 4 } }, false, 7 });
+    script.answerTail(makeError(error_code::NotFound, "gone"));
+    CHECK(script.calls.back() == "newest ");
+    script.answerNewest(newest_page { { { "b", "1", 4 } }, false, 30 });
+    CHECK(script.seen == std::vector<std::string> { "a+", "b+", "b+", "a?" });
+    CHECK(script.calls.back() == "read 30 wait");
+}
+
+TEST_CASE("after a failure the next question is answered at once")
+{
+    scripted_store script;
+    random_engine random(1);
+    topic_follower follower({ .topic = "t", .wait = 2s }, script.store, script.hooks(), random);
+    follower.start();
+    script.answerNewest(newest_page { {}, false, 7 });
+    script.answerTail(makeError(error_code::Timeout, "silent"));
+    CHECK(script.lost == 1);
+    script.later();
+    CHECK(script.calls.back() == "read 7");
+    script.answerTail(record_page { {}, 7 });
+    CHECK(script.regained == 1);
+    script.later();
+    CHECK(script.calls.back() == "read 7 wait");
+}
+
+TEST_CASE("a pool has one gatherer, and a VM that cannot reach it works alone for a while")
+{
+    record_store store;
+    std::uint64_t generation = 3;
+    int ownerQuestions = 0;
+    std::vector<partition_owner> owners { { 0, "10.0.0.2:7000" } };
+    store.joinGroup = [&](const auto&, const auto&, const auto&, duration, std::uint64_t,
+                          record_store::reply<std::uint64_t> reply) {
+        reply(generation);
+    };
+    store.groupOwners = [&](const auto&, record_store::reply<std::vector<partition_owner>> reply) {
+        ownerQuestions += 1;
+        reply(owners);
+    };
+    store.leaveGroup = [&](const auto&, const auto&, record_store::reply<void> reply) {
+        reply({});
+    };
+    std::function<void()> later;
+    pool_ownership ownership({ .partitions = 1 }, { "10.0.0.1", 7000 }, store,
+        { .now = [] { return start; },
+            .after = [&](duration, std::function<void()> action) { later = std::move(action); },
+            .onChanged =
+                [] {
+                } });
+    ownership.start();
+    const endpoint owner { "10.0.0.2", 7000 };
+    CHECK(ownership.otherOwner(pool_id("p"), start) == owner);
+    // The owners are asked for only when the group has changed.
+    later();
+    CHECK(ownerQuestions == 1);
+    ownership.unreachable(owner, start);
+    CHECK_FALSE(ownership.otherOwner(pool_id("p"), start + 900ms));
+    CHECK(ownership.otherOwner(pool_id("p"), start + 1000ms) == owner);
+    generation = 4;
+    owners = { { 0, "10.0.0.1:7000" } };
+    later();
+    CHECK(ownership.isOwner(pool_id("p")));
+    ownership.leave();
+    CHECK_FALSE(ownership.isOwner(pool_id("p")));
+}
--- a/balsamspring/gateway/piece_queue.cc
+++ b/balsamspring/gateway/piece_queue.cc
@@ -152,7 +152,8 @@
         if (m_spec.resultRoom > 0 && group->resultBytes > 0) {
             const auto fitting
                 = static_cast<unsigned>(std::min<std::uint64_t>(room / group->resultBytes, m_spec.batch));
-            if (fitting < take && (fitting == 0 || server.kept > 0))
+            // Only a group that no server can hold at once is split.
+            if (fitting < take && (fitting == 0 || server.kept > 0 || filled.pieces > 0))
                 continue;
             take = std::max(1U, std::min(take, fitting));
             room -= std::min(room, take * group->resultBytes);
@@ -261,7 +262,10 @@
 
 bool piece_queue::stillOnTime(const piece_group& group, mono_time now) const
 {
-    return now + expectedTime(std::min(group.count, m_spec.batch)) <= group.wanted;
+    // The call fills up with others while enough of them wait.
+    const auto pieces
+        = static_cast<unsigned>(std::clamp<std::size_t>(m_waiting, std::min(group.count, m_spec.batch), m_spec.batch));
+    return now + expectedTime(pieces) <= group.wanted;
 }
 
 } // namespace balsamspring
