--- a/balsamspring/net/event_loop.cc
+++ b/balsamspring/net/event_loop.cc
@@ -22,7 +22,11 @@
 
 event_loop::~event_loop() = default;
 
-void event_loop::run() { m_state->context.run(); }
+void event_loop::run()
+{
+    m_state->context.restart(); // run() may follow stop()
+    m_state->context.run();
+}
 
 void event_loop::stop() { m_state->context.stop(); }
 
