--- a/balsamspring/ctl/commands.cc
+++ b/balsamspring/ctl/commands.cc
@@ -52,6 +52,10 @@
         return runConfig();
     if (words[0] == "call")
         return runCall();
+    if (words[0] == "explain" && words.size() >= 2)
+        return explainRequestId();
+    if (words[0] == "failures")
+        return listFailures();
     if (words[0] == "request" && words.size() == 2)
         return show("GET", "/v1/requests/" + encodePath(words[1]));
     if (words.size() != 1)
--- a/balsamspring/ctl/commands.h
+++ b/balsamspring/ctl/commands.h
@@ -25,6 +25,8 @@
     exit_code runConfig();
     exit_code runCall();
 
+    exit_code explainRequestId();
+    exit_code listFailures();
     exit_code checkFiles();
     exit_code mergeFiles();
     exit_code diffFiles();
--- a/balsamspring/ctl/options.cc
+++ b/balsamspring/ctl/options.cc
@@ -75,6 +75,10 @@
   config merge BASE [OVERLAY...]        print the configuration of --site and the digest
   config diff BASE [OVERLAY...]         print the changed keys of each site
 
+Commands on logs of gateways (files, or standard input):
+  explain ID [FILE...]                  the story of a request and why it ended as it did
+  failures [FILE...]                    how requests failed, by cause, and the share that is explained
+
 Commands on a running system:
   config publish BASE [OVERLAY...]      publish and wait until in force everywhere
   config history                        the latest accepted proposals
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -702,6 +702,7 @@
     const std::string route = m_route ? m_route->name : "none";
     m_context.metrics.count("requests", outcome);
     m_context.metrics.observe("request", outcome, total);
+    const auto proofAge = m_context.config.proofAge(bootNow());
     const log_level level = outcome == "served" ? log_level::Info : log_level::Warn;
     logLine(level, "request_done",
         { { "id", m_request.id.value() }, { "route", route }, { "outcome", std::string(outcome) },
@@ -709,7 +710,8 @@
             { "first_ms", m_firstEventSeen ? milliseconds(m_firstEventAt - m_incoming.firstByte) : "-" },
             { "sent_ms", m_sentAt == mono_time() ? "-" : milliseconds(m_sentAt - m_incoming.firstByte) },
             { "attempts", std::to_string(m_attempts) }, { "server", m_tried.empty() ? "-" : m_tried.begin()->value() },
-            { "config", m_config ? std::to_string(m_config->version().value()) : "-" } });
+            { "config", m_config ? std::to_string(m_config->version().value()) : "-" },
+            { "proof_age_ms", proofAge ? milliseconds(*proofAge) : "-" } });
     m_onDone(*self);
 }
 
