--- a/balsamspring/gateway/gateway.h
+++ b/balsamspring/gateway/gateway.h
@@ -49,8 +49,9 @@
 
 struct gateway_options {
     // How long the store holds a question for the configuration. Two such times and a time-out are below the time that
-    // keys are trusted, so that one lost answer changes nothing.
-    duration configWait = std::chrono::milliseconds(1700);
+    // keys are trusted, so that one lost answer changes nothing; a VM that loses the store serves for 3.5 s or more, in
+    // which its readiness is noticed.
+    duration configWait = std::chrono::milliseconds(1200);
     // A VM gathers pieces for others only if its link can carry the calls to a whole pool: a call of 96 pieces with 8
     // inputs each is 20 KB, and 20 servers take 80 of them a second.
     double minGatherMbps = 50;
