Let one VM ask the store for all, and name the gatherer to those who ask another VM

Change: the VM that owns a topic's partition asks the store often and passes changed records on, with the moment at which the store proved them; a VM that gets nothing fresh asks the store itself. A declining VM names the gatherer it knows. The exchange client got a name of its own (two classes http_client in one program broke the link of balsamspringd).

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -1,6 +1,7 @@
 #include "balsamspring/gateway/gateway.h"
 
 #include "balsamspring/gateway/piece_gatherer.h"
+#include "balsamspring/gateway/relayed_store.h"
 #include "balsamspring/gateway/topic_follower.h"
 
 #include <charconv>
@@ -71,17 +72,19 @@
         , backends(loop, {})
         , pieces({}, { loop, wire, servers, repeats, backends, metrics })
         , router({}, loop, pieces, metrics)
-        , gatherer(
-              {}, loop, pieces, config, [this](const pool_id& pool) { return ownership && ownership->isOwner(pool); })
+        , gatherer({}, loop, pieces, config, sharedOwnership)
         , context { loop, wire, settings.zone, config, servers, balancer, repeats, quarantine, backends, router,
             metrics, random,
             [this](const server_entry& server) {
                 checkAlive(server);
             } }
+        , relayed({}, loop, store, metrics)
         , configFollower({ .topic = decoders.configTopic, .wait = options.configWait, .pause = duration::zero() },
-              store, followerHooks("config", [this](const store_record& item) { configRecord(item); }), random)
-        , serverFollower({ .topic = decoders.serverTopic, .wait = duration::zero(), .pause = serverPause() }, store,
-              followerHooks("servers", [this](const store_record& item) { serverRecord(item); }), random)
+              relayed.store(), followerHooks("config", [this](const store_record& item) { configRecord(item); }),
+              random)
+        , serverFollower({ .topic = decoders.serverTopic, .wait = duration::zero(), .pause = serverPause() },
+              relayed.store(), followerHooks("servers", [this](const store_record& item) { serverRecord(item); }),
+              random)
         , suspectFollower(
               { .topic = std::string(suspectTopic), .wait = options.suspectWait, .pause = duration::zero() }, store,
               followerHooks("suspects", [this](const store_record& item) { suspectRecord(item); }), random)
@@ -94,6 +97,9 @@
     {
         const bool followsServers = name == "servers";
         const bool followsConfig = name == "config";
+        const std::string topic = followsServers ? decoders.serverTopic
+            : followsConfig                      ? decoders.configTopic
+                                                 : std::string(suspectTopic);
         return { .now = bootNow,
             .after = [this](duration delay, std::function<void()> action) { loop.after(delay, std::move(action)); },
             .onRecord = std::move(onRecord),
@@ -103,10 +109,12 @@
                         servers.remove(backend_id(key), bootNow());
                 },
             .onCurrent =
-                [this, followsConfig](mono_time askedAt) {
+                [this, followsConfig, topic](mono_time provenAt, std::uint64_t next) {
                     if (followsConfig && !configUnreadable)
-                        config.confirm(askedAt);
+                        config.confirm(provenAt);
+                    relayed.relay(topic).advanced(next, provenAt, bootNow());
                 },
+            .onSnapshot = [this, topic](std::uint64_t next) { relayed.relay(topic).restart(next); },
             .onLost =
                 [this, name, followsServers](const error& why) {
                     metrics.count("store_losses", name);
@@ -125,6 +133,7 @@
 
     void configRecord(const store_record& record)
     {
+        relayed.relay(decoders.configTopic).add(record);
         if (record.key != decoders.configKey || !record.value)
             return;
         auto decoded = decoders.config(*record.value);
@@ -146,11 +155,19 @@
     void serverRecord(const store_record& record)
     {
         const mono_time now = bootNow();
-        if (!record.value)
+        topic_relay& relay = relayed.relay(decoders.serverTopic);
+        if (!record.value) {
+            relay.add(record);
             return servers.remove(backend_id(record.key), now);
+        }
         auto decoded = decoders.server(record.key, *record.value);
-        if (decoded)
-            return servers.put(std::move(*decoded), now);
+        if (decoded) {
+            // Servers write again and again that nothing has changed, which other VMs need not hear.
+            if (servers.put(std::move(*decoded)))
+                relay.add(record);
+            return;
+        }
+        relay.add(record);
         metrics.count("unreadable_records", "server");
         logLine(
             log_level::Warn, "server_entry_unreadable", { { "key", record.key }, { "why", decoded.error().message } });
@@ -200,7 +217,7 @@
         };
         probe->setHandlers({ .onConnected = [end] { end(false); },
             .onData = nullptr,
-            .onEnd = [end](stream_end) { end(true); },
+            .onEnd = [end](connection_end) { end(true); },
             .onWritten = nullptr });
     }
 
@@ -276,8 +293,12 @@
                         limits.idleTimeout = std::chrono::seconds(30); // longer than other VMs keep connections
                         return limits;
                     },
-                .handler = [this](const incoming_request& request,
-                               const std::shared_ptr<response_writer>& writer) { gatherer.handle(request, writer); },
+                .handler =
+                    [this](const incoming_request& request, const std::shared_ptr<response_writer>& writer) {
+                        if (request.head.target == followPath)
+                            return relayed.handle(request, writer);
+                        gatherer.handle(request, writer);
+                    },
                 .onRejected = nullptr });
         if (!opened)
             return tl::make_unexpected(opened.error());
@@ -290,13 +311,28 @@
                 .after = [this](duration delay, std::function<void()> action) { loop.after(delay, std::move(action)); },
                 .onChanged =
                     [this] {
-                        router.ownersChanged();
+                        ownersChanged();
                     } });
+        sharedOwnership = ownership.get();
         router.setOwnership(ownership.get());
+        relayed.setOwnership(ownership.get());
         ownership->start();
         return {};
     }
 
+    void ownersChanged()
+    {
+        router.ownersChanged();
+        const bool relaysConfig = relayed.relays(decoders.configTopic);
+        configFollower.setPace(relaysConfig ? options.relayConfigWait : options.configWait, duration::zero());
+        duration pause = serverPause();
+        if (relayed.relays(decoders.serverTopic))
+            pause = options.relayServerPause;
+        else if (relayed.isRelayed(decoders.serverTopic))
+            pause = options.relayedServerPause;
+        serverFollower.setPace(duration::zero(), pause);
+    }
+
     // Readiness and metrics; both answer on either address.
     result<void> openSide(const endpoint& address, std::unique_ptr<http_service>& service)
     {
@@ -422,12 +458,14 @@
     server_balancer balancer;
     repeat_budget repeats;
     crash_quarantine quarantine;
-    http_client backends;
+    exchange_client backends;
     piece_service pieces;
     piece_router router;
+    const pool_ownership* sharedOwnership = nullptr; // of `ownership`
     piece_gatherer gatherer;
     std::unique_ptr<pool_ownership> ownership; // none without an address for other VMs
     gateway_context context;
+    relayed_store relayed;
     topic_follower configFollower;
     topic_follower serverFollower;
     topic_follower suspectFollower;
--- a/balsamspring/gateway/gateway.h
+++ b/balsamspring/gateway/gateway.h
@@ -56,6 +56,10 @@
     // inputs each is 20 KB, and 20 servers take 80 of them a second.
     double minGatherMbps = 50;
     double serverPauseShare = 0.7; // of the drain limit, between two questions for the entries of servers
+    // The VM that asks for all others asks this often.
+    duration relayConfigWait = std::chrono::milliseconds(500);
+    duration relayServerPause = std::chrono::milliseconds(250);
+    duration relayedServerPause = std::chrono::milliseconds(200); // between two questions to that VM
     duration suspectWait = std::chrono::seconds(20);
     duration revocationMargin = std::chrono::milliseconds(300); // for requests on their way and slow timers
     duration acceptWhileStopping = std::chrono::milliseconds(2800); // callers still arrive until readiness is noticed
--- a/balsamspring/gateway/gateway_context.h
+++ b/balsamspring/gateway/gateway_context.h
@@ -28,7 +28,7 @@
     server_balancer& balancer;
     repeat_budget& repeats;
     crash_quarantine& quarantine;
-    http_client& backends;
+    exchange_client& backends;
     piece_router& pieces;
     gateway_metrics& metrics;
     random_engine& random;
--- a/balsamspring/gateway/gateway_test.cc
+++ b/balsamspring/gateway/gateway_test.cc
@@ -76,8 +76,8 @@
 {
     // The first gateway kept all entries under a moved-from id, and had one server.
     server_registry servers({}, [](const server_entry&, server_change) {});
-    servers.put(makeServer("s1"), start);
-    servers.put(makeServer("s2"), start);
+    servers.put(makeServer("s1"));
+    servers.put(makeServer("s2"));
     CHECK(servers.usable(pool_id("pool")).size() == 2);
     REQUIRE(servers.find(backend_id("s1")));
     CHECK(servers.find(backend_id("s1"))->id == backend_id("s1"));
@@ -87,11 +87,11 @@
 {
     std::vector<server_change> changes;
     server_registry servers({}, [&](const server_entry&, server_change change) { changes.push_back(change); });
-    servers.put(makeServer("s1"), start);
-    servers.put(makeServer("s2"), start);
+    servers.put(makeServer("s1"));
+    servers.put(makeServer("s2"));
     server_entry draining = makeServer("s1");
     draining.draining = true;
-    servers.put(draining, start);
+    servers.put(draining);
     CHECK(servers.usable(pool_id("pool")).size() == 1);
     servers.remove(backend_id("s2"), start);
     CHECK(servers.usable(pool_id("pool")).empty());
@@ -102,14 +102,14 @@
 TEST_CASE("entries that lapsed with the store are kept until they are back or gone")
 {
     server_registry servers({}, [](const server_entry&, server_change) {});
-    servers.put(makeServer("s1"), start);
-    servers.put(makeServer("s2"), start);
+    servers.put(makeServer("s1"));
+    servers.put(makeServer("s2"));
     servers.storeLost(start + 1s);
     servers.storeRegained(5s, start + 6s);
     servers.remove(backend_id("s1"), start + 6s);
     servers.remove(backend_id("s2"), start + 6s);
     CHECK(servers.usable(pool_id("pool")).size() == 2);
-    servers.put(makeServer("s1"), start + 7s);
+    servers.put(makeServer("s1"));
     servers.expire(start + 8s);
     CHECK(servers.usable(pool_id("pool")).size() == 2);
     servers.expire(start + 8200ms);
@@ -125,7 +125,7 @@
     server_registry servers({}, [](const server_entry&, server_change) {});
     server_entry draining = makeServer("s1");
     draining.draining = true;
-    servers.put(draining, start);
+    servers.put(draining);
     servers.storeLost(start + 1s);
     servers.remove(backend_id("s1"), start + 2s);
     CHECK(servers.find(backend_id("s1")) == nullptr);
@@ -137,10 +137,10 @@
     server_registry servers({}, [&](const server_entry&, server_change change) { changes.push_back(change); });
     server_entry entry = makeServer("s1");
     entry.startedAtMs = 1000;
-    servers.put(entry, start);
-    servers.put(entry, start);
+    servers.put(entry);
+    servers.put(entry);
     entry.startedAtMs = 2000;
-    servers.put(entry, start);
+    servers.put(entry);
     CHECK(changes == std::vector { server_change::Added, server_change::Restarted });
 }
 
@@ -304,7 +304,8 @@
             .after = [this](duration, std::function<void()> action) { later = std::move(action); },
             .onRecord = [this](const store_record& record) { seen.push_back(record.key + (record.value ? "+" : "-")); },
             .onMissing = [this](const std::string& key) { seen.push_back(key + "?"); },
-            .onCurrent = [this](mono_time askedAt) { confirmedAt = askedAt; },
+            .onCurrent = [this](mono_time askedAt, std::uint64_t) { confirmedAt = askedAt; },
+            .onSnapshot = [](std::uint64_t) {},
             .onLost = [this](const error&) { lost += 1; },
             .onRegained =
                 [this](duration) {
--- a/balsamspring/gateway/piece_gatherer.cc
+++ b/balsamspring/gateway/piece_gatherer.cc
@@ -109,12 +109,12 @@
 }
 
 piece_gatherer::piece_gatherer(gatherer_options options, event_loop& loop, piece_service& pieces,
-    const config_state& config, std::function<bool(const pool_id&)> owns)
+    const config_state& config, const pool_ownership* const& ownership)
     : m_options(options)
     , m_loop(loop)
     , m_pieces(pieces)
     , m_config(config)
-    , m_owns(std::move(owns))
+    , m_ownership(ownership)
 {
 }
 
@@ -134,8 +134,12 @@
         return writer->send(answerHead(badRequest), {});
     const auto config = m_config.current();
     const pool_spec* pool = config ? config->pool(pool_id(decoded.pool())) : nullptr;
-    if (!pool || !pool->pieces || !m_owns(pool->id))
+    if (!pool || !pool->pieces || !m_ownership)
         return writer->send(answerHead(unavailable), {});
+    if (!m_ownership->isOwner(pool->id)) {
+        const auto owner = m_ownership->knownOwner(pool->id);
+        return writer->send(answerHead(unavailable), owner ? toString(*owner) : std::string());
+    }
     piece_work work;
     work.pool = pool->id;
     work.request = request_id(decoded.request());
--- a/balsamspring/gateway/piece_gatherer.h
+++ b/balsamspring/gateway/piece_gatherer.h
@@ -3,9 +3,9 @@
 
 #include "balsamspring/gateway/config_state.h"
 #include "balsamspring/gateway/piece_service.h"
+#include "balsamspring/gateway/pool_ownership.h"
 #include "balsamspring/net/http_service.h"
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -30,9 +30,9 @@
 
 class piece_gatherer {
 public:
-    // `owns` tells whether this VM gathers for a pool; work for others is declined.
+    // Work for a pool that this VM does not gather for is declined, naming the VM that does if it is known.
     piece_gatherer(gatherer_options options, event_loop& loop, piece_service& pieces, const config_state& config,
-        std::function<bool(const pool_id&)> owns);
+        const pool_ownership* const& ownership);
 
     // Answers one request of another VM.
     void handle(const incoming_request& request, const std::shared_ptr<response_writer>& writer);
@@ -45,7 +45,7 @@
     event_loop& m_loop;
     piece_service& m_pieces;
     const config_state& m_config;
-    std::function<bool(const pool_id&)> m_owns;
+    const pool_ownership* const& m_ownership; // null until the VM has joined others
 };
 
 } // namespace balsamspring
--- a/balsamspring/gateway/piece_router.cc
+++ b/balsamspring/gateway/piece_router.cc
@@ -17,11 +17,12 @@
     piece_work work;
     piece_callback callback;
     piece_ticket localTicket = 0;
-    std::shared_ptr<http_exchange> exchange;
+    std::shared_ptr<client_exchange> exchange;
     event_loop::timer_id silenceTimer = 0;
     endpoint owner;
     unsigned status = 0;
     std::string body;
+    bool redirected = false; // to the owner that another VM named
 };
 
 std::string post(const endpoint& peer, std::string_view path, const std::string& body)
@@ -33,9 +34,9 @@
     return formatHead(head) + body;
 }
 
-http_client_options peerOptions(const piece_router_options& options)
+exchange_client_options peerOptions(const piece_router_options& options)
 {
-    http_client_options peers;
+    exchange_client_options peers;
     peers.connectTimeout = options.connectTimeout;
     peers.idleLimit = options.idleReuse;
     return peers;
@@ -128,7 +129,7 @@
         if (end != exchange_end::Complete)
             return fallBack(ticket, toString(end));
         if (found->second.status != okStatus)
-            return fallBack(ticket, "declined");
+            return declined(ticket);
         gather_answer answer = decodeGatherReply(found->second.body);
         if (!answer.readable)
             return fallBack(ticket, "unreadable");
@@ -136,6 +137,21 @@
         finish(ticket, std::move(answer.outcome));
     }
 
+    // The VM that was asked may name the owner, who is then asked instead.
+    void declined(piece_ticket ticket)
+    {
+        routed_work& routed = works.at(ticket);
+        const auto named = parseEndpoint(routed.body);
+        const bool other = ownership->outdated(routed.work.pool, named ? std::optional(*named) : std::nullopt);
+        if (!other || routed.redirected)
+            return fallBack(ticket, "declined");
+        loop.cancel(routed.silenceTimer);
+        routed.redirected = true;
+        routed.body.clear();
+        metrics.count("gather_fallbacks", "redirected");
+        ask(ticket, *named);
+    }
+
     void fallBack(piece_ticket ticket, std::string_view why)
     {
         const auto found = works.find(ticket);
@@ -153,9 +169,7 @@
                 { "owner", toString(routed.owner) }, { "why", std::string(why) } });
         // One failed call says little about an owner that has just answered others.
         const mono_time now = bootNow();
-        if (why == "declined")
-            ownership->outdated();
-        else if (now - lastAnswer[routed.owner] > options.silenceLimit)
+        if (why != "declined" && now - lastAnswer[routed.owner] > options.silenceLimit)
             ownership->unreachable(routed.owner, now);
         runHere(ticket);
     }
@@ -227,7 +241,7 @@
     event_loop& loop;
     piece_service& local;
     gateway_metrics& metrics;
-    http_client peers;
+    exchange_client peers;
     pool_ownership* ownership = nullptr;
     std::map<piece_ticket, routed_work> works;
     std::map<pool_id, std::vector<piece_result>> releases;
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -49,7 +49,7 @@
         pool_id pool;
         server_entry server;
         std::vector<sent_piece> pieces;
-        std::shared_ptr<http_exchange> exchange;
+        std::shared_ptr<client_exchange> exchange;
         event_loop::timer_id timer = 0;
         mono_time sentAt {};
         backend_answer answer;
--- a/balsamspring/gateway/piece_service.h
+++ b/balsamspring/gateway/piece_service.h
@@ -56,7 +56,7 @@
     const wire_adapter& adapter;
     server_registry& servers;
     repeat_budget& repeats;
-    http_client& backends;
+    exchange_client& backends;
     gateway_metrics& metrics;
 };
 
--- a/balsamspring/gateway/pool_ownership.cc
+++ b/balsamspring/gateway/pool_ownership.cc
@@ -112,6 +112,22 @@
     return *owner;
 }
 
+bool pool_ownership::outdated(const pool_id& pool, const std::optional<endpoint>& owner)
+{
+    m_askSoon = true;
+    const endpoint* believed = ownerOf(pool);
+    if (!owner || *owner == m_self || !believed || *believed == *owner)
+        return false;
+    m_owners[static_cast<std::uint32_t>(hash64(pool.value()) % m_options.partitions)] = *owner;
+    return true;
+}
+
+std::optional<endpoint> pool_ownership::knownOwner(const pool_id& pool) const
+{
+    const endpoint* owner = ownerOf(pool);
+    return owner ? std::optional(*owner) : std::nullopt;
+}
+
 void pool_ownership::unreachable(const endpoint& owner, mono_time now)
 {
     m_unreachable[owner] = now + m_options.reachPause;
--- a/balsamspring/gateway/pool_ownership.h
+++ b/balsamspring/gateway/pool_ownership.h
@@ -48,8 +48,10 @@
     std::optional<endpoint> otherOwner(const pool_id& pool, mono_time now) const;
     // The owner did not answer.
     void unreachable(const endpoint& owner, mono_time now);
-    // The VM that was asked is not the owner any more.
-    void outdated() { m_askSoon = true; }
+    // The VM that was asked is not the owner any more. It may know who is: returns whether that is another VM to ask.
+    bool outdated(const pool_id& pool, const std::optional<endpoint>& owner);
+    // The owner as far as this VM knows; it may be itself.
+    std::optional<endpoint> knownOwner(const pool_id& pool) const;
 
 private:
     void join();
--- a/balsamspring/gateway/record_store.h
+++ b/balsamspring/gateway/record_store.h
@@ -21,6 +21,9 @@
 struct record_page {
     std::vector<store_record> records;
     std::uint64_t nextOffset = 0; // where to go on reading
+    // When the store is known to have had nothing newer, counted from the moment of asking. Another VM that passes
+    // records on may know an earlier or a later one.
+    duration provenAfterAsking {};
 };
 
 // Newest record of each key. Several pages are no snapshot: records may change between them.
--- /dev/null
+++ b/balsamspring/gateway/relayed_store.cc
@@ -0,0 +1,215 @@
+#include "balsamspring/gateway/relayed_store.h"
+
+#include "balsamspring/base/log.h"
+#include "balsamspring/gather_schema/gather.pb.h"
+
+namespace balsamspring {
+
+namespace {
+
+constexpr unsigned okStatus = 200;
+constexpr unsigned badRequest = 400;
+constexpr unsigned unavailable = 503;
+
+http_head answerHead(unsigned status)
+{
+    http_head head;
+    head.status = status;
+    head.reason = status == okStatus ? "OK" : "Declined";
+    return head;
+}
+
+std::string encodePage(const record_page& page)
+{
+    schema::follow_reply reply;
+    for (const store_record& record : page.records) {
+        auto* added = reply.add_records();
+        added->set_key(record.key);
+        added->set_offset(record.offset);
+        added->set_removed(!record.value);
+        if (record.value)
+            added->set_value(*record.value);
+    }
+    reply.set_next_offset(page.nextOffset);
+    reply.set_proven_after_asking_us(page.provenAfterAsking.count());
+    return reply.SerializeAsString();
+}
+
+std::optional<record_page> decodePage(const std::string& bytes)
+{
+    schema::follow_reply reply;
+    if (!reply.ParseFromString(bytes))
+        return std::nullopt;
+    record_page page;
+    for (const auto& record : reply.records()) {
+        store_record decoded { record.key(), std::nullopt, record.offset() };
+        if (!record.removed())
+            decoded.value = record.value();
+        page.records.push_back(std::move(decoded));
+    }
+    page.nextOffset = reply.next_offset();
+    page.provenAfterAsking = duration(reply.proven_after_asking_us());
+    return page;
+}
+
+std::string encodeQuestion(const endpoint& peer, const std::string& topic, std::uint64_t from, duration wait)
+{
+    schema::follow_request request;
+    request.set_topic(topic);
+    request.set_from_offset(from);
+    request.set_wait_us(wait.count());
+    const std::string body = request.SerializeAsString();
+    http_head head;
+    head.method = "POST";
+    head.target = followPath;
+    head.fields = { { "Host", toString(peer) }, { "Content-Length", std::to_string(body.size()) } };
+    return formatHead(head) + body;
+}
+
+exchange_client_options clientOptions(const relayed_store_options& options)
+{
+    exchange_client_options client;
+    client.connectTimeout = options.connectTimeout;
+    client.idleLimit = options.wait * 2;
+    return client;
+}
+
+// A question to another VM.
+struct peer_question {
+    std::shared_ptr<client_exchange> exchange;
+    event_loop::timer_id timer = 0;
+    unsigned status = 0;
+    std::string body;
+    bool ended = false;
+};
+
+} // namespace
+
+struct relayed_store::state {
+    state(relayed_store_options given, event_loop& owner, const record_store& store, gateway_metrics& counters)
+        : options(given)
+        , loop(owner)
+        , direct(store)
+        , metrics(counters)
+        , peers(owner, clientOptions(given))
+        , relayed(store)
+    {
+        relayed.readFrom = [this](const std::string& topic, std::uint64_t from, duration wait,
+                               record_store::reply<record_page> reply) {
+            read(topic, from, wait, std::move(reply));
+        };
+    }
+
+    void read(const std::string& topic, std::uint64_t from, duration wait, record_store::reply<record_page> reply)
+    {
+        const auto owner = ownership ? ownership->otherOwner(pool_id(topic), bootNow()) : std::nullopt;
+        if (!owner)
+            return direct.readFrom(topic, from, wait, std::move(reply));
+        auto question = std::make_shared<peer_question>();
+        const auto end = [this, question, owner = *owner, topic, from, wait, reply](std::string_view how) {
+            finish(*question, owner, topic, from, wait, how, reply);
+        };
+        question->timer = loop.after(options.wait + options.answerMargin, [end] { end("silent"); });
+        exchange_request request;
+        request.bytes = encodeQuestion(*owner, topic, from, options.wait);
+        request.maxIdle = options.wait * 2;
+        auto exchange = peers.start(*owner, std::move(request),
+            { .onHead = [question](const http_head& head) { question->status = head.status; },
+                .onBody = [question](std::string_view bytes) { question->body += bytes; },
+                .onEnd =
+                    [end](exchange_end how) {
+                        end(toString(how));
+                    } });
+        if (!question->ended)
+            question->exchange = std::move(exchange);
+    }
+
+    void finish(peer_question& question, const endpoint& owner, const std::string& topic, std::uint64_t from,
+        duration wait, std::string_view how, const record_store::reply<record_page>& reply)
+    {
+        if (question.ended)
+            return;
+        question.ended = true;
+        loop.cancel(question.timer);
+        if (question.exchange)
+            question.exchange->cancel();
+        question.exchange = nullptr;
+        const bool complete = how == toString(exchange_end::Complete);
+        if (complete && question.status == okStatus) {
+            if (auto page = decodePage(question.body)) {
+                metrics.count("relayed_reads", "answered");
+                return reply(std::move(*page));
+            }
+        }
+        metrics.count("relayed_reads", complete ? "declined" : how);
+        if (complete) {
+            ownership->outdated(pool_id(topic), std::nullopt);
+        } else {
+            logLine(log_level::Warn, "relay_lost",
+                { { "topic", topic }, { "owner", toString(owner) }, { "why", std::string(how) } });
+            ownership->unreachable(owner, bootNow());
+        }
+        // After a silent answer time has passed in vain: the store is asked for what it has now.
+        direct.readFrom(topic, from, complete ? wait : duration::zero(), reply);
+    }
+
+    relayed_store_options options;
+    event_loop& loop;
+    const record_store& direct;
+    gateway_metrics& metrics;
+    exchange_client peers;
+    record_store relayed;
+    pool_ownership* ownership = nullptr;
+    std::map<std::string, topic_relay> relays;
+};
+
+relayed_store::relayed_store(
+    relayed_store_options options, event_loop& loop, const record_store& direct, gateway_metrics& metrics)
+    : m_state(std::make_unique<state>(options, loop, direct, metrics))
+{
+}
+
+relayed_store::~relayed_store() = default;
+
+void relayed_store::setOwnership(pool_ownership* ownership) { m_state->ownership = ownership; }
+
+const record_store& relayed_store::store() const { return m_state->relayed; }
+
+topic_relay& relayed_store::relay(const std::string& topic)
+{
+    return m_state->relays.try_emplace(topic, relay_options {}).first->second;
+}
+
+bool relayed_store::relays(const std::string& topic) const
+{
+    return m_state->ownership && m_state->ownership->isOwner(pool_id(topic));
+}
+
+bool relayed_store::isRelayed(const std::string& topic) const
+{
+    return m_state->ownership && m_state->ownership->otherOwner(pool_id(topic), bootNow());
+}
+
+void relayed_store::handle(const incoming_request& request, const std::shared_ptr<response_writer>& writer)
+{
+    schema::follow_request decoded;
+    if (!decoded.ParseFromString(request.body))
+        return writer->send(answerHead(badRequest), {});
+    const auto found = m_state->relays.find(decoded.topic());
+    if (found == m_state->relays.end() || !relays(decoded.topic()))
+        return writer->send(answerHead(unavailable), {});
+    topic_relay& source = found->second;
+    const auto id
+        = source.ask(decoded.from_offset(), request.received, [writer](const std::optional<record_page>& page) {
+              if (page)
+                  writer->send(answerHead(okStatus), encodePage(*page));
+              else
+                  writer->send(answerHead(unavailable), {});
+          });
+    if (!id)
+        return;
+    writer->onGone([&source, id] { source.forget(id); });
+    m_state->loop.after(duration(decoded.wait_us()), [&source, id] { source.expire(id, bootNow()); });
+}
+
+} // namespace balsamspring
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -121,7 +121,7 @@
     mono_time m_deadline {};
     std::vector<stage_progress> m_stages;
 
-    std::shared_ptr<http_exchange> m_exchange;
+    std::shared_ptr<client_exchange> m_exchange;
     std::optional<server_entry> m_server;
     std::set<backend_id> m_tried;
     mono_time m_sentAt {};
--- a/balsamspring/gateway/server_registry.cc
+++ b/balsamspring/gateway/server_registry.cc
@@ -25,7 +25,7 @@
 {
 }
 
-void server_registry::put(server_entry entry, mono_time)
+bool server_registry::put(server_entry entry)
 {
     const auto found = m_servers.find(entry.id);
     if (found == m_servers.end()) {
@@ -33,9 +33,11 @@
         const auto added = m_servers.emplace(id, known_server { std::move(entry), std::nullopt }).first;
         rebuild(added->second.entry.pool);
         m_onChange(added->second.entry, server_change::Added);
-        return;
+        return true;
     }
     known_server& known = found->second;
+    if (!known.lapsedAt && known.entry == entry)
+        return false;
     known.lapsedAt.reset();
     const pool_id oldPool = known.entry.pool;
     const bool restarted = known.entry.startedAtMs != entry.startedAtMs || known.entry.address != entry.address;
@@ -48,6 +50,7 @@
         m_onChange(known.entry, server_change::Restarted);
     if (drains)
         m_onChange(known.entry, server_change::Draining);
+    return true;
 }
 
 void server_registry::remove(const backend_id& id, mono_time now)
--- a/balsamspring/gateway/server_registry.h
+++ b/balsamspring/gateway/server_registry.h
@@ -24,6 +24,8 @@
     zone_id zone;
     bool draining = false;
     std::int64_t startedAtMs = 0; // distinguishes two starts under one id; 0: not stated
+
+    friend bool operator==(const server_entry&, const server_entry&) = default;
 };
 
 enum class server_change : std::uint8_t { Added, Restarted, Draining, Removed, Lapsed };
@@ -43,7 +45,8 @@
 
     server_registry(server_registry_options options, change_callback onChange);
 
-    void put(server_entry entry, mono_time now);
+    // Returns whether the entry says anything new.
+    bool put(server_entry entry);
     // The entry of the id was removed or cannot be read.
     void remove(const backend_id& id, mono_time now);
     void storeLost(mono_time now);
--- a/balsamspring/gateway/topic_follower.cc
+++ b/balsamspring/gateway/topic_follower.cc
@@ -20,6 +20,12 @@
     readSnapshot({});
 }
 
+void topic_follower::setPace(duration wait, duration pause)
+{
+    m_options.wait = wait;
+    m_options.pause = pause;
+}
+
 void topic_follower::readSnapshot(const std::string& afterKey)
 {
     if (afterKey.empty()) {
@@ -57,7 +63,8 @@
         m_newestOffset.erase(key);
         m_hooks.onMissing(key);
     }
-    m_hooks.onCurrent(m_snapshotAskedAt);
+    m_hooks.onSnapshot(m_next);
+    m_hooks.onCurrent(m_snapshotAskedAt, m_next);
     readTail();
 }
 
@@ -84,7 +91,7 @@
     for (const store_record& record : page.records)
         report(record);
     m_next = std::max(m_next, page.nextOffset);
-    m_hooks.onCurrent(askedAt);
+    m_hooks.onCurrent(askedAt + page.provenAfterAsking, m_next);
     m_hooks.after(m_options.pause, [this] { readTail(); });
 }
 
--- a/balsamspring/gateway/topic_follower.h
+++ b/balsamspring/gateway/topic_follower.h
@@ -29,7 +29,9 @@
     // Keys that a complete snapshot does not hold although records had named them before.
     std::function<void(const std::string& key)> onMissing;
     // Everything up to the end that a read, sent at `askedAt`, saw has been reported.
-    std::function<void(mono_time askedAt)> onCurrent;
+    std::function<void(mono_time askedAt, std::uint64_t nextOffset)> onCurrent;
+    // A snapshot was read; records follow from this offset on.
+    std::function<void(std::uint64_t nextOffset)> onSnapshot;
     std::function<void(const error& why)> onLost; // the first failed call after a good one
     std::function<void(duration away)> onRegained;
 };
@@ -41,6 +43,8 @@
 
     void start();
     // Time since the last good answer; measured from the start before the first.
+    // Asks more or less often from the next question on.
+    void setPace(duration wait, duration pause);
     duration silence(mono_time now) const { return now - m_lastAnswer; }
     bool lost() const { return m_lost; }
 
--- /dev/null
+++ b/balsamspring/gateway/topic_relay.cc
@@ -0,0 +1,86 @@
+#include "balsamspring/gateway/topic_relay.h"
+
+#include <algorithm>
+
+namespace balsamspring {
+
+topic_relay::topic_relay(relay_options options)
+    : m_options(options)
+{
+}
+
+void topic_relay::restart(std::uint64_t next)
+{
+    m_records.clear();
+    m_begin = next;
+    m_next = next;
+}
+
+void topic_relay::add(const store_record& record)
+{
+    m_records.push_back(record);
+    if (m_records.size() <= m_options.keptRecords)
+        return;
+    m_begin = m_records.front().offset + 1;
+    m_records.pop_front();
+}
+
+void topic_relay::advanced(std::uint64_t next, mono_time provenAt, mono_time now)
+{
+    m_next = std::max(m_next, next);
+    m_provenAt = provenAt;
+    std::map<ask_id, waiting_ask> waiting;
+    waiting.swap(m_waiting);
+    for (auto& [id, asked] : waiting) {
+        if (asked.from < m_begin)
+            asked.answer(std::nullopt);
+        else if (!m_records.empty() && m_records.back().offset >= asked.from && fresh(now))
+            asked.answer(pageFrom(asked.from, asked.askedAt));
+        else
+            m_waiting.emplace(id, std::move(asked));
+    }
+}
+
+topic_relay::ask_id topic_relay::ask(std::uint64_t from, mono_time now, reply answer)
+{
+    if (from < m_begin || !fresh(now)) {
+        answer(std::nullopt);
+        return 0;
+    }
+    if (!m_records.empty() && m_records.back().offset >= from) {
+        answer(pageFrom(from, now));
+        return 0;
+    }
+    const ask_id id = m_nextId++;
+    m_waiting.emplace(id, waiting_ask { from, now, std::move(answer) });
+    return id;
+}
+
+void topic_relay::expire(ask_id id, mono_time now)
+{
+    const auto found = m_waiting.find(id);
+    if (found == m_waiting.end())
+        return;
+    const waiting_ask asked = std::move(found->second);
+    m_waiting.erase(found);
+    if (fresh(now))
+        asked.answer(pageFrom(asked.from, asked.askedAt));
+    else
+        asked.answer(std::nullopt);
+}
+
+bool topic_relay::fresh(mono_time now) const { return m_provenAt && now - *m_provenAt <= m_options.maxProofAge; }
+
+record_page topic_relay::pageFrom(std::uint64_t from, mono_time askedAt) const
+{
+    record_page page;
+    for (const store_record& record : m_records) {
+        if (record.offset >= from)
+            page.records.push_back(record);
+    }
+    page.nextOffset = std::max(from, m_next);
+    page.provenAfterAsking = *m_provenAt - askedAt;
+    return page;
+}
+
+} // namespace balsamspring
--- a/balsamspring/net/connection.cc
+++ b/balsamspring/net/connection.cc
@@ -105,7 +105,7 @@
             if (!state.open)
                 return;
             if (error)
-                return self->finish(stream_end::Reset);
+                return self->finish(connection_end::Reset);
             state.connected = true;
             if (const auto connected = state.handlers.onConnected)
                 connected();
@@ -148,7 +148,7 @@
             if (!state.open)
                 return;
             if (error)
-                return self->finish(error == boost::asio::error::eof ? stream_end::Closed : stream_end::Reset);
+                return self->finish(error == boost::asio::error::eof ? connection_end::Closed : connection_end::Reset);
             if (!state.closing) {
                 // The callback may replace itself.
                 if (const auto data = state.handlers.onData)
@@ -197,7 +197,7 @@
             if (!state.open)
                 return;
             if (failed)
-                return self->finish(stream_end::Reset);
+                return self->finish(connection_end::Reset);
             if (!state.queued.empty())
                 return self->writeMore();
             if (state.closing)
@@ -207,7 +207,7 @@
         });
 }
 
-void connection::finish(stream_end end)
+void connection::finish(connection_end end)
 {
     auto& state = *m_socket;
     if (state.ended || !state.open)
@@ -217,7 +217,7 @@
         return abort();
     if (const auto ended = state.handlers.onEnd)
         ended(end);
-    if (end == stream_end::Reset)
+    if (end == connection_end::Reset)
         abort();
 }
 
--- a/balsamspring/net/connection.h
+++ b/balsamspring/net/connection.h
@@ -23,7 +23,7 @@
 result<endpoint> parseEndpoint(std::string_view text);
 std::string toString(const endpoint& where);
 
-enum class stream_end : std::uint8_t {
+enum class connection_end : std::uint8_t {
     Closed, // the peer has sent everything that it wanted to send
     Reset, // broken; bytes may be missing
 };
@@ -32,7 +32,7 @@
 struct connection_handlers {
     std::function<void()> onConnected; // outgoing connections only
     std::function<void(std::string_view)> onData;
-    std::function<void(stream_end)> onEnd; // nothing more will be received
+    std::function<void(connection_end)> onEnd; // nothing more will be received
     std::function<void()> onWritten; // all bytes given to write() are with the kernel
 };
 
@@ -65,7 +65,7 @@
     void connectTo(const endpoint& peer);
     void readMore();
     void writeMore();
-    void finish(stream_end end);
+    void finish(connection_end end);
     void halfClose();
 
     std::unique_ptr<socket_state> m_socket;
--- a/balsamspring/net/http_exchange.cc
+++ b/balsamspring/net/http_exchange.cc
@@ -53,8 +53,8 @@
     return "lost";
 }
 
-struct http_client::state : std::enable_shared_from_this<http_client::state> {
-    state(event_loop& owner, http_client_options given)
+struct exchange_client::state : std::enable_shared_from_this<exchange_client::state> {
+    state(event_loop& owner, exchange_client_options given)
         : loop(owner)
         , options(given)
     {
@@ -97,7 +97,7 @@
         };
         link->setHandlers({ .onConnected = nullptr,
             .onData = [drop](std::string_view) { drop(); },
-            .onEnd = [drop](stream_end) { drop(); },
+            .onEnd = [drop](connection_end) { drop(); },
             .onWritten = nullptr });
         list.push_back({ std::move(link), bootNow(), limit });
         armSweep();
@@ -130,7 +130,7 @@
     }
 
     event_loop& loop;
-    http_client_options options;
+    exchange_client_options options;
     std::map<endpoint, std::deque<idle_connection>> idle; // oldest first
     event_loop::timer_id sweepTimer = 0;
     std::uint64_t opened = 0;
@@ -138,9 +138,9 @@
 
 namespace {
 
-class exchange final : public http_exchange, public std::enable_shared_from_this<exchange> {
+class exchange final : public client_exchange, public std::enable_shared_from_this<exchange> {
 public:
-    exchange(std::shared_ptr<http_client::state> client, const endpoint& peer, exchange_request request,
+    exchange(std::shared_ptr<exchange_client::state> client, const endpoint& peer, exchange_request request,
         exchange_callbacks callbacks)
         : m_client(std::move(client))
         , m_peer(peer)
@@ -168,7 +168,7 @@
         }
         m_link->setHandlers({ .onConnected = [self = shared_from_this()] { self->connected(); },
             .onData = [self = shared_from_this()](std::string_view bytes) { self->received(bytes); },
-            .onEnd = [self = shared_from_this()](stream_end how) { self->linkEnded(how); },
+            .onEnd = [self = shared_from_this()](connection_end how) { self->linkEnded(how); },
             .onWritten = nullptr });
         if (m_reused)
             connected();
@@ -239,12 +239,12 @@
             end(exchange_end::Malformed);
     }
 
-    void linkEnded(stream_end how)
+    void linkEnded(connection_end how)
     {
         if (!m_sent)
             return end(exchange_end::NotSent);
         // Without a length the end of the connection ends the body, unless the connection broke.
-        const bool complete = how == stream_end::Closed && m_parser.headSeen() && !m_skipping
+        const bool complete = how == connection_end::Closed && m_parser.headSeen() && !m_skipping
             && m_parser.finish() == http_failure::None && m_messageEnded;
         if (m_done)
             return;
@@ -278,7 +278,7 @@
         }
     }
 
-    std::shared_ptr<http_client::state> m_client;
+    std::shared_ptr<exchange_client::state> m_client;
     endpoint m_peer;
     exchange_request m_request;
     exchange_callbacks m_callbacks;
@@ -297,12 +297,12 @@
 
 } // namespace
 
-http_client::http_client(event_loop& loop, http_client_options options)
+exchange_client::exchange_client(event_loop& loop, exchange_client_options options)
     : m_state(std::make_shared<state>(loop, options))
 {
 }
 
-http_client::~http_client()
+exchange_client::~exchange_client()
 {
     m_state->loop.cancel(m_state->sweepTimer);
     for (auto& [peer, list] : m_state->idle) {
@@ -311,7 +311,7 @@
     }
 }
 
-std::shared_ptr<http_exchange> http_client::start(
+std::shared_ptr<client_exchange> exchange_client::start(
     const endpoint& peer, exchange_request request, exchange_callbacks callbacks)
 {
     auto started = std::make_shared<exchange>(m_state, peer, std::move(request), std::move(callbacks));
@@ -319,7 +319,7 @@
     return started;
 }
 
-void http_client::dropIdle(const endpoint& peer)
+void exchange_client::dropIdle(const endpoint& peer)
 {
     const auto found = m_state->idle.find(peer);
     if (found == m_state->idle.end())
@@ -329,6 +329,6 @@
     m_state->idle.erase(found);
 }
 
-std::uint64_t http_client::connectionsOpened() const { return m_state->opened; }
+std::uint64_t exchange_client::connectionsOpened() const { return m_state->opened; }
 
 } // namespace balsamspring
--- a/balsamspring/net/http_exchange.h
+++ b/balsamspring/net/http_exchange.h
@@ -37,9 +37,9 @@
     bool expectNoBody = false; // HEAD
 };
 
-class http_exchange {
+class client_exchange {
 public:
-    virtual ~http_exchange() = default;
+    virtual ~client_exchange() = default;
     // Closes the connection, so that the peer drops the work.
     virtual void cancel() = 0;
     virtual void pauseReading(bool paused) = 0;
@@ -47,7 +47,7 @@
     virtual bool reusedConnection() const = 0;
 };
 
-struct http_client_options {
+struct exchange_client_options {
     duration connectTimeout = std::chrono::milliseconds(500); // a lost opening packet is sent again after 1 s
     duration unackedLimit = std::chrono::milliseconds(1500); // TCP_USER_TIMEOUT
     std::size_t idlePerPeer = 16;
@@ -55,12 +55,13 @@
     http_limits limits;
 };
 
-class http_client {
+class exchange_client {
 public:
-    http_client(event_loop& loop, http_client_options options);
-    ~http_client();
+    exchange_client(event_loop& loop, exchange_client_options options);
+    ~exchange_client();
 
-    std::shared_ptr<http_exchange> start(const endpoint& peer, exchange_request request, exchange_callbacks callbacks);
+    std::shared_ptr<client_exchange> start(
+        const endpoint& peer, exchange_request request, exchange_callbacks callbacks);
     // Closes the idle connections to the peer.
     void dropIdle(const endpoint& peer);
     std::uint64_t connectionsOpened() const;
--- a/balsamspring/net/http_service.cc
+++ b/balsamspring/net/http_service.cc
@@ -54,7 +54,7 @@
         m_service->links.insert(shared_from_this());
         m_link->start({ .onConnected = nullptr,
             .onData = [self = shared_from_this()](std::string_view bytes) { self->received(bytes); },
-            .onEnd = [self = shared_from_this()](stream_end) { self->gone(); },
+            .onEnd = [self = shared_from_this()](connection_end) { self->gone(); },
             .onWritten =
                 [self = shared_from_this()] {
                     self->written();
--- a/balsamspring/net/net_test.cc
+++ b/balsamspring/net/net_test.cc
@@ -40,7 +40,7 @@
             links.push_back(link);
             link->start({ .onConnected = nullptr,
                 .onData = [this, weak = std::weak_ptr(link)](std::string_view bytes) { reply(weak.lock(), bytes); },
-                .onEnd = [this](stream_end) { ended += 1; },
+                .onEnd = [this](connection_end) { ended += 1; },
                 .onWritten = nullptr });
         });
         REQUIRE(opened);
@@ -61,7 +61,7 @@
     std::optional<exchange_end> end;
 };
 
-std::shared_ptr<http_exchange> startExchange(http_client& client, const endpoint& server, exchange_record& record,
+std::shared_ptr<client_exchange> startExchange(exchange_client& client, const endpoint& server, exchange_record& record,
     event_loop& loop, exchange_request request = {})
 {
     if (request.bytes.empty())
@@ -154,7 +154,7 @@
         link->write("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nId: "
                     "new\r\nContent-Length: 3\r\n\r\nnew");
     });
-    http_client client(loop, {});
+    exchange_client client(loop, {});
     exchange_record record;
     exchange_request request;
     request.echoField = "Id";
@@ -181,7 +181,7 @@
         INFO(item.name);
         event_loop loop;
         raw_server server(loop, [&](const auto& link, std::string_view) { link->write(item.answer); });
-        http_client client(loop, {});
+        exchange_client client(loop, {});
         exchange_record first;
         startExchange(client, server.address(), first, loop);
         runFor(loop, 1s);
@@ -198,7 +198,7 @@
 TEST_CASE("the end of an exchange tells whether the request may have arrived")
 {
     event_loop loop;
-    http_client client(loop, {});
+    exchange_client client(loop, {});
     SECTION("nobody listens: not sent")
     {
         endpoint closed;
@@ -277,7 +277,7 @@
         auto link = connection::open(loop, { "127.0.0.1", service->port() }, 1s);
         link->setHandlers({ .onConnected = [link = link.get(), bytes] { link->write(bytes); },
             .onData = [this](std::string_view data) { received += data; },
-            .onEnd = [this](stream_end) { ended = true; },
+            .onEnd = [this](connection_end) { ended = true; },
             .onWritten = nullptr });
         return link;
     }
