Count results as kept by their handle, until they are freed or expire

Cause: room was counted by bytes alone. Change: the gatherer keeps each result by its handle with its lifetime; freeing is idempotent. Findings of the linter mended.

--- a/balsamspring/ctl/log_story.cc
+++ b/balsamspring/ctl/log_story.cc
@@ -133,6 +133,7 @@
 std::vector<std::string> knownReasons()
 {
     std::vector<std::string> reasons;
+    reasons.reserve(reasonTexts.size());
     for (const reason_text& known : reasonTexts)
         reasons.emplace_back(known.reason);
     return reasons;
--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -265,14 +265,14 @@
         if (!opened)
             return tl::make_unexpected(opened.error());
         callers = std::move(*opened);
-        if (const auto side = openSide(settings.readiness, readinessService); !side)
+        if (auto side = openSide(settings.readiness, readinessService); !side)
             return side;
         if (settings.metrics) {
-            if (const auto side = openSide(*settings.metrics, metricsService); !side)
+            if (auto side = openSide(*settings.metrics, metricsService); !side)
                 return side;
         }
         if (settings.peers) {
-            if (const auto joined = joinPeers(); !joined)
+            if (auto joined = joinPeers(); !joined)
                 return joined;
         }
         configFollower.start();
--- a/balsamspring/gateway/gateway_test.cc
+++ b/balsamspring/gateway/gateway_test.cc
@@ -9,6 +9,7 @@
 #include "balsamspring/gateway/topic_follower.h"
 
 #include <deque>
+#include <utility>
 
 #include <catch2/catch.hpp>
 
@@ -210,9 +211,11 @@
     server_balancer here({}, zone_id("z1"), random);
     server_balancer there({}, zone_id("z2"), random);
     std::vector<server_entry> engines;
+    engines.reserve(6);
     for (int i = 1; i <= 6; ++i)
         engines.push_back(makeServer("e" + std::to_string(i), i <= 3 ? "z1" : "z2"));
     std::vector<const server_entry*> servers;
+    servers.reserve(engines.size());
     for (const server_entry& engine : engines)
         servers.push_back(&engine);
     for (std::uint64_t prefix = 0; prefix < 50; ++prefix) {
@@ -315,13 +318,13 @@
 
     void answerTail(result<record_page> page)
     {
-        const auto reply = std::move(tail);
+        const auto reply = std::exchange(tail, nullptr);
         reply(std::move(page));
     }
 
     void answerNewest(result<newest_page> page)
     {
-        const auto reply = std::move(newest);
+        const auto reply = std::exchange(newest, nullptr);
         reply(std::move(page));
     }
 
@@ -405,14 +408,14 @@
     int ownerQuestions = 0;
     std::vector<partition_owner> owners { { 0, "10.0.0.2:7000" } };
     store.joinGroup = [&](const auto&, const auto&, const auto&, duration, std::uint64_t,
-                          record_store::reply<std::uint64_t> reply) {
+                          const record_store::reply<std::uint64_t>& reply) {
         reply(generation);
     };
-    store.groupOwners = [&](const auto&, record_store::reply<std::vector<partition_owner>> reply) {
+    store.groupOwners = [&](const auto&, const record_store::reply<std::vector<partition_owner>>& reply) {
         ownerQuestions += 1;
         reply(owners);
     };
-    store.leaveGroup = [&](const auto&, const auto&, record_store::reply<void> reply) {
+    store.leaveGroup = [&](const auto&, const auto&, const record_store::reply<void>& reply) {
         reply({});
     };
     std::function<void()> later;
@@ -445,7 +448,7 @@
     record_store store;
     std::vector<partition_owner> owners;
     int questions = 0;
-    store.groupOwners = [&](const auto&, record_store::reply<std::vector<partition_owner>> reply) {
+    store.groupOwners = [&](const auto&, const record_store::reply<std::vector<partition_owner>>& reply) {
         questions += 1;
         reply(owners);
     };
--- a/balsamspring/gateway/piece_queue.cc
+++ b/balsamspring/gateway/piece_queue.cc
@@ -107,6 +107,7 @@
         return aSlow != bSlow ? bSlow : a.kept < b.kept;
     });
     std::vector<const server_entry*> ordered;
+    ordered.reserve(open.size());
     for (const candidate& item : open)
         ordered.push_back(item.server);
     return ordered;
--- a/balsamspring/gateway/piece_queue_test.cc
+++ b/balsamspring/gateway/piece_queue_test.cc
@@ -28,6 +28,7 @@
 std::vector<server_entry> makeServers(std::size_t count)
 {
     std::vector<server_entry> servers;
+    servers.reserve(count);
     for (std::size_t i = 1; i <= count; ++i) {
         server_entry entry;
         entry.id = backend_id("s" + std::to_string(i));
@@ -40,6 +41,7 @@
 std::vector<const server_entry*> pointers(const std::vector<server_entry>& servers)
 {
     std::vector<const server_entry*> list;
+    list.reserve(servers.size());
     for (const server_entry& server : servers)
         list.push_back(&server);
     return list;
@@ -224,10 +226,10 @@
     const auto call = queue.next(list, start);
     REQUIRE(call);
     CHECK(call->pieces == 16);
-    queue.resultsKept(call->server, 16 * 50'000);
+    queue.resultsKept(call->server, 16UL * 50'000);
     queue.succeeded(call->server, 16, 200ms, start);
     CHECK_FALSE(queue.next(list, start + 200ms));
-    queue.resultsFreed(call->server, 16 * 50'000);
+    queue.resultsFreed(call->server, 16UL * 50'000);
     CHECK(queue.next(list, start + 200ms));
 }
 
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <unordered_map>
 
 #include <fmt/core.h>
 
@@ -24,7 +25,13 @@
 struct release_batch {
     pool_id pool;
     std::vector<std::string> handles;
+};
+
+// A result that takes up room at its server.
+struct kept_result {
+    backend_id server;
     std::uint64_t bytes = 0;
+    mono_time expiresAt {};
 };
 
 struct sent_piece {
@@ -41,7 +48,36 @@
         {
         }
 
+        void keep(const std::string& handle, const backend_id& server, std::uint64_t bytes, mono_time now)
+        {
+            queue.resultsKept(server, bytes);
+            kept[handle] = { server, bytes, now + queue.spec().resultLifetime };
+        }
+
+        void free(const std::string& handle)
+        {
+            const auto found = kept.find(handle);
+            if (found == kept.end())
+                return;
+            queue.resultsFreed(found->second.server, found->second.bytes);
+            kept.erase(found);
+        }
+
+        // Results that nobody frees, because their VM is gone, expire at their server.
+        void dropExpired(mono_time now)
+        {
+            for (auto item = kept.begin(); item != kept.end();) {
+                if (now < item->second.expiresAt) {
+                    ++item;
+                    continue;
+                }
+                queue.resultsFreed(item->second.server, item->second.bytes);
+                item = kept.erase(item);
+            }
+        }
+
         piece_queue queue;
+        std::unordered_map<std::string, kept_result> kept; // by handle
         event_loop::timer_id expiryTimer = 0;
     };
 
@@ -58,9 +94,9 @@
         bool ended = false;
     };
 
-    state(piece_service_options given, piece_service_parts given_parts)
+    state(piece_service_options given, piece_service_parts givenParts)
         : options(given)
-        , parts(given_parts)
+        , parts(givenParts)
     {
     }
 
@@ -111,6 +147,7 @@
             if (found == pools.end())
                 return;
             found->second.expiryTimer = 0;
+            found->second.dropExpired(bootNow());
             pump(id);
         });
     }
@@ -219,7 +256,7 @@
             touched.insert(ticket);
             if (outcome.handle) {
                 active.results[piece] = piece_result { *outcome.handle, call.server.zone, active.work.resultBytes };
-                target.queue.resultsKept(call.server.id, active.work.resultBytes);
+                target.keep(*outcome.handle, call.server.id, active.work.resultBytes, now);
                 continue;
             }
             parts.metrics.count("piece_failures", failureName(outcome.failure));
@@ -345,7 +382,6 @@
             release_batch& batch = unfreed[*maker];
             batch.pool = pool;
             batch.handles.push_back(item.handle);
-            batch.bytes += item.bytes;
         }
         if (unfreed.empty() || releaseTimer)
             return;
@@ -369,29 +405,21 @@
             request.bytes = parts.adapter.encodeRelease(maker, batch.handles);
             request.maxIdle = options.idleReuse;
             parts.backends.start(maker, std::move(request),
-                { .onHead = nullptr,
-                    .onBody = nullptr,
-                    .onEnd = [this, pool = batch.pool, id = server->id, bytes = batch.bytes](exchange_end end) {
-                        released(pool, id, bytes, end);
-                    } });
+                { .onHead = nullptr, .onBody = nullptr, .onEnd = [this, batch = batch](exchange_end end) {
+                     released(batch, end);
+                 } });
         }
     }
 
-    void released(const pool_id& pool, const backend_id& server, std::uint64_t bytes, exchange_end end)
+    void released(const release_batch& batch, exchange_end end)
     {
         parts.metrics.count("releases", toString(end));
-        const auto target = pools.find(pool);
-        if (target == pools.end())
+        const auto target = pools.find(batch.pool);
+        if (target == pools.end() || end != exchange_end::Complete)
             return;
-        if (end == exchange_end::Complete) {
-            target->second.queue.resultsFreed(server, bytes);
-            return pump(pool);
-        }
-        parts.loop.after(target->second.queue.spec().resultLifetime, [this, pool, server, bytes] {
-            const auto found = pools.find(pool);
-            if (found != pools.end())
-                found->second.queue.resultsFreed(server, bytes);
-        });
+        for (const std::string& handle : batch.handles)
+            target->second.free(handle);
+        pump(batch.pool);
     }
 
     piece_service_options options;
--- a/balsamspring/net/connection.cc
+++ b/balsamspring/net/connection.cc
@@ -17,7 +17,7 @@
 
 using tcp = boost::asio::ip::tcp;
 
-constexpr std::size_t readBytes = 16 * 1024;
+constexpr std::size_t readBytes = 16UL * 1024;
 // How long a closed connection waits for the peer to close as well.
 constexpr auto lingerLimit = std::chrono::seconds(1);
 constexpr int acceptBacklog = 512;
