Ask a lost store at most every 0.8 s

Change: the longest retry delay doubles to 0.8 s; proofs of the configuration are found again within that time. The test of expiring results was seen to fail with the expiry off.

--- a/balsamspring/gateway/topic_follower.h
+++ b/balsamspring/gateway/topic_follower.h
@@ -19,7 +19,7 @@
     duration wait {}; // how long the store may hold a read until a record is there
     duration pause {}; // between two reads
     duration minRetryDelay = std::chrono::milliseconds(60);
-    duration maxRetryDelay = std::chrono::milliseconds(400);
+    duration maxRetryDelay = std::chrono::milliseconds(800);
 };
 
 struct follower_hooks {
