Split the session of a request into admission, stages and answer

Change: sources for admission and for stages and placement; no line of logic changed. Conclusion: easier to read.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -16,8 +16,6 @@
 constexpr std::string_view suspectTopic = "keyed.balsamspring-suspects";
 constexpr std::string_view quarantinedValue = "quarantined";
 constexpr std::string_view suspectValue = "suspect";
-constexpr std::uint16_t noPort = 0;
-
 std::string fingerprintText(fingerprint content) { return fmt::format("{:016x}", content.value()); }
 
 std::optional<fingerprint> parseFingerprint(const std::string& text)
@@ -495,7 +493,7 @@
 
 void gateway::stop(std::function<void()> onStopped) { m_state->stop(std::move(onStopped)); }
 
-std::uint16_t gateway::callerPort() const { return m_state->callers ? m_state->callers->port() : noPort; }
+std::uint16_t gateway::callerPort() const { return m_state->callers ? m_state->callers->port() : 0; }
 
 bool gateway::ready() const { return m_state->ready(); }
 
--- /dev/null
+++ b/balsamspring/gateway/request_session_admission.cc
@@ -0,0 +1,108 @@
+// Whether a request may be served: its route, its team, its key and its content.
+#include "balsamspring/base/hash.h"
+#include "balsamspring/gateway/request_session.h"
+
+#include <algorithm>
+
+namespace balsamspring {
+
+namespace {
+
+constexpr unsigned statusUnauthorized = 401;
+constexpr unsigned statusNotFound = 404;
+
+} // namespace
+
+bool request_session::accept()
+{
+    m_config = m_context.config.current();
+    if (!m_config) {
+        refuseWaiting("no_configuration");
+        return false;
+    }
+    if (!findRoute() || !findTeam())
+        return false;
+    m_content = fingerprint(combineHash(
+        hash64(m_request.target, hash64(m_team ? m_team->value() : std::string())), hash64(m_incoming.body)));
+    if (m_context.quarantine.standing(m_content, m_incoming.received) == content_standing::Quarantined) {
+        refuseWaiting("crashes_servers");
+        return false;
+    }
+    return true;
+}
+
+bool request_session::findRoute()
+{
+    m_route = m_config->match(m_request.host, m_request.target);
+    if (!m_route || m_route->pools.empty()) {
+        // The route may be one that was added while this VM could not reach the store.
+        if (!m_context.config.keysTrusted(bootNow()))
+            refuseWaiting("configuration_unconfirmed");
+        else
+            refuse(statusNotFound, "no_route");
+        return false;
+    }
+    double total = 0;
+    for (const weighted_pool& item : m_route->pools)
+        total += item.weight;
+    double drawn = uniform(m_context.random) * total;
+    m_pool = m_route->pools.back().pool;
+    for (const weighted_pool& item : m_route->pools) {
+        drawn -= item.weight;
+        if (drawn < 0) {
+            m_pool = item.pool;
+            break;
+        }
+    }
+    m_priority = m_route->priority;
+    return true;
+}
+
+bool request_session::findTeam()
+{
+    if (m_route->anonymous)
+        return true;
+    if (!m_context.config.keysTrusted(bootNow())) {
+        refuseWaiting("keys_unconfirmed");
+        return false;
+    }
+    const team_spec* team = m_request.key ? m_config->teamOfKey(*m_request.key) : nullptr;
+    if (!team) {
+        refuse(statusUnauthorized, "unknown_key");
+        return false;
+    }
+    m_team = team->id;
+    m_priority = team->priority.value_or(m_route->priority);
+    return true;
+}
+
+// A key may be taken away while the request waits, and this VM may lose the store: asked at the moment of sending.
+bool request_session::keyStillHeld()
+{
+    if (m_route->anonymous)
+        return true;
+    const auto present = m_context.config.current();
+    const team_spec* team = present->teamOfKey(*m_request.key);
+    if (!team || team->id != *m_team) {
+        refuse(statusUnauthorized, "key_revoked");
+        return false;
+    }
+    if (!m_context.config.keysTrusted(bootNow())) {
+        refuseWaiting("keys_unconfirmed");
+        return false;
+    }
+    return true;
+}
+
+void request_session::startTimers()
+{
+    const mono_time start = m_incoming.firstByte;
+    const duration patience = std::min(m_request.patience.value_or(m_route->timeout), m_route->timeout);
+    m_deadline = start + patience;
+    m_wanted = start + m_route->latencyTarget;
+    const duration left = m_deadline - m_options.stopMargin - bootNow();
+    m_deadlineTimer = m_context.loop.after(
+        std::max(left, duration::zero()), [self = shared_from_this()] { self->deadlinePassed(); });
+}
+
+} // namespace balsamspring
--- /dev/null
+++ b/balsamspring/gateway/request_session_stages.cc
@@ -0,0 +1,216 @@
+// The stages of a request, and the choice of the server that reads their results.
+#include "balsamspring/base/hash.h"
+#include "balsamspring/gateway/request_session.h"
+
+#include <algorithm>
+#include <map>
+
+#include <fmt/core.h>
+
+namespace balsamspring {
+
+void request_session::prepareStages()
+{
+    m_stages.resize(m_route->stages.size());
+    m_request.pieceCounts.resize(m_route->stages.size(), 0);
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        if (m_request.pieceCounts[i] == 0) {
+            m_stages[i].submitted = m_stages[i].done = true;
+            continue;
+        }
+        for (const std::size_t input : m_route->stages[i].after) {
+            if (input < m_stages.size())
+                m_stages[input].readers += 1;
+        }
+    }
+    // The configuration lists a stage behind those that it needs.
+    for (std::size_t i = m_stages.size(); i > 0; --i) {
+        if (m_request.pieceCounts[i - 1] == 0)
+            continue;
+        for (const std::size_t input : m_route->stages[i - 1].after) {
+            if (input < i - 1)
+                m_stages[input].level = std::max(m_stages[input].level, m_stages[i - 1].level + 1);
+        }
+    }
+}
+
+void request_session::submitReadyStages()
+{
+    bool allDone = true;
+    for (std::size_t i = 0; i < m_stages.size() && !m_done; ++i) {
+        allDone = allDone && m_stages[i].done;
+        if (m_stages[i].submitted)
+            continue;
+        const auto& after = m_route->stages[i].after;
+        const bool ready = std::all_of(after.begin(), after.end(),
+            [&](std::size_t input) { return input < m_stages.size() && m_stages[input].done; });
+        if (ready)
+            submitStage(i);
+    }
+    if (allDone && !m_done)
+        send();
+}
+
+void request_session::submitStage(std::size_t index)
+{
+    const stage_spec& spec = m_route->stages[index];
+    const pool_spec* pool = m_config->pool(spec.pool);
+    if (!pool || !pool->pieces)
+        return refuseWaiting("stage_unknown");
+    if (!keyStillHeld())
+        return;
+    m_stages[index].submitted = true;
+    piece_work work;
+    work.pool = spec.pool;
+    work.request = m_request.id;
+    work.stage = index;
+    work.count = m_request.pieceCounts[index];
+    work.resultBytes = spec.resultBytes;
+    for (const std::size_t input : spec.after) {
+        for (const piece_result& item : m_stages[input].results)
+            work.inputs.push_back(item.handle);
+    }
+    work.inputZone = zoneOfResults(spec.after);
+    if (work.inputs.empty())
+        work.key = m_request.pieceKey;
+    work.wanted = m_wanted - timeAfterStage(index);
+    work.deadline = m_deadline - timeAfterStage(index);
+    work.priority = m_priority;
+    m_stages[index].ticket = m_context.pieces.submit(
+        *pool->pieces, std::move(work), [self = shared_from_this(), index](result<std::vector<piece_result>> outcome) {
+            self->stageDone(index, std::move(outcome));
+        });
+}
+
+void request_session::stageDone(std::size_t index, result<std::vector<piece_result>> outcome)
+{
+    stage_progress& stage = m_stages[index];
+    stage.ticket = 0;
+    if (m_done) {
+        if (outcome)
+            m_context.pieces.release(m_route->stages[index].pool, *outcome);
+        return;
+    }
+    if (!outcome)
+        return refuseWaiting(fmt::format("stage_{}", toString(outcome.error().code)));
+    stage.done = true;
+    stage.results = std::move(*outcome);
+    // The inputs of this stage are not needed once all their readers are done.
+    for (const std::size_t input : m_route->stages[index].after) {
+        m_stages[input].readers -= 1;
+        if (m_stages[input].readers == 0)
+            releaseStage(input);
+    }
+    submitReadyStages();
+}
+
+bool request_session::isFinalStage(std::size_t index) const
+{
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        const auto& after = m_route->stages[i].after;
+        if (m_request.pieceCounts[i] > 0 && std::find(after.begin(), after.end(), index) != after.end())
+            return false;
+    }
+    return true;
+}
+
+// Expected time of all that follows a stage, for its place in the queue.
+duration request_session::timeAfterStage(std::size_t index) const
+{
+    duration longest {};
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        const auto& after = m_route->stages[i].after;
+        if (m_request.pieceCounts[i] == 0 || std::find(after.begin(), after.end(), index) == after.end())
+            continue;
+        const pool_spec* pool = m_config->pool(m_route->stages[i].pool);
+        duration own {};
+        if (pool && pool->pieces)
+            own = pool->pieces->callTime + pool->pieces->pieceTime * pool->pieces->batch;
+        longest = std::max(longest, own + timeAfterStage(i) - engineTime());
+    }
+    return longest + engineTime();
+}
+
+duration request_session::engineTime() const
+{
+    return m_options.engineBase
+        + fromSeconds(static_cast<double>(m_request.promptTokens) / m_options.prefillTokensPerMs / 1000);
+}
+
+void request_session::releaseStage(std::size_t index)
+{
+    stage_progress& stage = m_stages[index];
+    if (stage.released || stage.results.empty())
+        return;
+    stage.released = true;
+    m_context.pieces.release(m_route->stages[index].pool, stage.results);
+}
+
+void request_session::releaseFinalResults()
+{
+    for (std::size_t i = 0; i < m_stages.size(); ++i)
+        releaseStage(i);
+}
+
+std::vector<std::size_t> request_session::finalStages() const
+{
+    std::vector<std::size_t> stages;
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        if (m_request.pieceCounts[i] > 0 && isFinalStage(i))
+            stages.push_back(i);
+    }
+    return stages;
+}
+
+std::vector<std::string> request_session::finalInputs() const
+{
+    std::vector<std::string> handles;
+    for (const std::size_t stage : finalStages()) {
+        for (const piece_result& item : m_stages[stage].results)
+            handles.push_back(item.handle);
+    }
+    return handles;
+}
+
+zone_id request_session::zoneOfResults(const std::vector<std::size_t>& stages) const
+{
+    std::map<zone_id, std::uint64_t> bytes;
+    for (const std::size_t stage : stages) {
+        for (const piece_result& item : m_stages[stage].results)
+            bytes[item.zone] += item.bytes;
+    }
+    const auto most = std::max_element(
+        bytes.begin(), bytes.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    return most == bytes.end() ? zone_id() : most->first;
+}
+
+std::uint64_t request_session::prefixHash() const
+{
+    // The last part belongs to this request or its session alone.
+    const auto& parts = m_request.prompt;
+    if (parts.empty())
+        return hash64(m_request.id.value());
+    const std::size_t shared = parts.size() > 1 ? parts.size() - 1 : 1;
+    std::uint64_t hash = 0;
+    for (std::size_t i = 0; i < shared; ++i)
+        hash = combineHash(hash, hash64(parts[i].id));
+    return hash;
+}
+
+const server_entry* request_session::chooseServer()
+{
+    const mono_time now = bootNow();
+    const auto& servers = m_context.servers.usable(m_pool);
+    const pool_spec* pool = m_config->pool(m_pool);
+    const bool engine = m_route->cacheAffinity || (pool && pool->engine);
+    std::vector<const server_entry*> allowed;
+    for (const server_entry* server : servers) {
+        if (m_context.quarantine.mayStart(m_content, server->id, now))
+            allowed.push_back(server);
+    }
+    if (engine)
+        return m_context.balancer.chooseForPrefix(allowed, m_tried, prefixHash(), zoneOfResults(finalStages()), now);
+    return m_context.balancer.choose(allowed, m_tried, now);
+}
+
+} // namespace balsamspring
