Give engines the rank of a request, and leave servers whose address belongs to another

Cause: engines take all requests with the same rank, so that less urgent prompts delay more urgent ones; a server that answers for a wrong entry was tried again after 60 ms. Change: the rank of route or team goes to the engine; a misdirected answer blocks the server like one that was not reached.

--- a/balsamspring/gateway/gateway.h
+++ b/balsamspring/gateway/gateway.h
@@ -65,7 +65,6 @@
     duration acceptWhileStopping = std::chrono::milliseconds(2800); // callers still arrive until readiness is noticed
     duration stopMargin = std::chrono::milliseconds(500); // the process ends this much before it would be killed
     duration expiryInterval = std::chrono::milliseconds(250);
-    duration logInterval = std::chrono::milliseconds(100);
     session_options sessions;
 };
 
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -16,6 +16,10 @@
 constexpr unsigned statusGatewayTimeout = 504;
 constexpr unsigned firstServerError = 500;
 
+// Ranks of priority at an engine, from the route's or the team's 0 downwards.
+constexpr unsigned mostUrgentRank = 3;
+constexpr unsigned leastUrgentRank = 9;
+
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 // A status by which the caller learns that its request has not run.
@@ -81,6 +85,7 @@
     fields.team = m_team;
     fields.lastEventId = m_events.last() ? m_events.last() : m_request.lastEventId;
     fields.inputs = finalInputs();
+    fields.enginePriority = std::min(mostUrgentRank + m_priority, leastUrgentRank);
     exchange_request request;
     request.bytes = formatHead(m_context.adapter.encodeForward(m_request, fields, m_incoming.body.size()));
     request.bytes += m_incoming.body;
@@ -201,6 +206,8 @@
             { "status", std::to_string(m_answer.status) }, { "attempt", std::to_string(m_attempts) } });
     if (m_answer.inputsGone || m_answer.status == statusBadRequest)
         m_context.balancer.abandoned(m_server->id);
+    else if (m_answer.wrongServer) // the entry is out of date: the address belongs to another server
+        m_context.balancer.failed(m_server->id, call_failure::NotReached, now);
     else
         m_context.balancer.full(m_server->id, now);
     m_server.reset();
