Take orders, membership, peer calls and forwarding out of the repository

Cause: nothing on the platform orders engines, the log service's groups replace membership, and the daemon never drove the planner of orders; these parts, gRPC and their generated code cost most of a build and were used by their own tests only.

Change: orders, membership and peer leave with their messages, settings, benchmarks and the engine's stand-in for orders. Every VM of the daemon follows all partitions of claims, so no call is forwarded; who is there comes from the VM list. backend_view moves to server, where backend_watch feeds it. The test with five daemons stays: a call under one key runs once whichever of them it comes to.

Left out knowingly: signs of leaving servers and of suspected content no longer pass between daemons; each VM learns them from replies and the VM list.

--- a/apps/balsamspring-emulator.cc
+++ b/apps/balsamspring-emulator.cc
@@ -38,8 +38,6 @@
     add("prefill-per-block-ms", po::value<double>()->default_value(2), "per 64 bytes of prompt not in the cache");
     add("hold-ms", po::value<double>()->default_value(10'000), "how long streams without a reader are kept");
     add("models", po::value<std::vector<std::string>>()->multitoken(), "models loaded at start, as name@version");
-    add("order-token", po::value<std::string>()->default_value(""), "token that orders must carry");
-    add("ignore-fencing", po::bool_switch(), "obey orders with old fencing numbers");
     add("call-ms", po::value<double>()->default_value(5), "time of one call of a service");
     add("concurrency", po::value<std::size_t>()->default_value(16), "calls that a service runs at a time");
     add("no-load-report", po::bool_switch(), "services report no load");
@@ -99,8 +97,6 @@
     engine.gapPerStream = milliseconds(values, "gap-per-stream-ms");
     engine.prefillPerBlock = milliseconds(values, "prefill-per-block-ms");
     engine.hold = milliseconds(values, "hold-ms");
-    engine.checksFencing = !values["ignore-fencing"].as<bool>();
-    engine.orderToken = values["order-token"].as<std::string>();
     if (values.count("models"))
         engine.models = values["models"].as<std::vector<std::string>>();
     plain_service_options service;
--- a/balsamspring/backend/backend_client.h
+++ b/balsamspring/backend/backend_client.h
@@ -1,4 +1,4 @@
-// Interface to backend servers: token streams of model engines, calls of other servers, orders to engines.
+// Interface to backend servers: token streams of model engines, calls of other servers.
 #pragma once
 
 #include "balsamspring/base/ids.h"
@@ -86,18 +86,9 @@
     server_facts facts;
 };
 
-struct order_request {
-    fencing_number fencing;
-    std::string kind; // "load_model", "unload_model", "set_role"
-    std::string model;
-    std::string version;
-    std::string token; // proof of the sender, for engines that check it
-};
-
 // State that an engine tells about itself.
 struct engine_state {
     std::uint64_t generation = 0;
-    fencing_number highestFencing;
     std::vector<std::string> models; // "name@version"
     std::string role;
 };
@@ -122,10 +113,6 @@
         const std::string& address, const call_request& request, std::function<void(result<call_answer>)> done)
         = 0;
 
-    virtual void order(const std::string& address, const order_request& request, duration timeout,
-        std::function<void(result<void>)> done)
-        = 0;
-
     virtual void queryState(
         const std::string& address, duration timeout, std::function<void(result<engine_state>)> done)
         = 0;
--- a/balsamspring/backend/http_backend_client.cc
+++ b/balsamspring/backend/http_backend_client.cc
@@ -291,29 +291,6 @@
     });
 }
 
-void http_backend_client::order(
-    const std::string& address, const order_request& request, duration timeout, std::function<void(result<void>)> done)
-{
-    http_request message;
-    message.method = "POST";
-    message.address = address;
-    message.path = "/v1/orders";
-    if (!request.token.empty())
-        message.headers.emplace_back("Authorization", "Bearer " + request.token);
-    message.body = dumpText({ { "fencing", request.fencing.value() },
-        { "order", { { "kind", request.kind }, { "model", request.model }, { "version", request.version } } } });
-    message.timeout = timeout;
-    message.freshConnection = true;
-    m_http.send(message, [done = std::move(done)](const result<http_reply>& reply) {
-        if (!reply)
-            done(tl::make_unexpected(reply.error()));
-        else if (reply->status != statusOk)
-            done(tl::make_unexpected(errorOfReply(reply->status, reply->body)));
-        else
-            done({});
-    });
-}
-
 void http_backend_client::queryState(
     const std::string& address, duration timeout, std::function<void(result<engine_state>)> done)
 {
@@ -329,8 +306,7 @@
         const json answer = parse(reply->body);
         if (!answer.is_object())
             return done(makeError(error_code::Corrupt, "the engine's state does not parse"));
-        engine_state state { number(answer, "generation"), fencing_number(number(answer, "highest_fencing")), {},
-            textOf(answer, "role") };
+        engine_state state { number(answer, "generation"), {}, textOf(answer, "role") };
         for (const json& model : answer.value("models", json::array())) {
             if (model.is_string())
                 state.models.push_back(model.get<std::string>());
--- a/balsamspring/backend/http_backend_client.h
+++ b/balsamspring/backend/http_backend_client.h
@@ -16,7 +16,7 @@
     http_client_options http { .receiveBuffer = std::size_t { 16 } * 1024 };
 };
 
-// Streams and idempotent calls share pooled connections; calls with `freshConnection` and orders open their own.
+// Streams and idempotent calls share pooled connections; calls with `freshConnection` open their own.
 //
 // A final frame of another attempt does not end a stream: the stream then ends with Unavailable when the reply is over.
 // Frames of other attempts before the end are passed on, as the callers count them.
@@ -30,8 +30,6 @@
     void cancelStream(const std::string& address, stream_id stream, std::function<void(result<void>)> done) override;
     void call(const std::string& address, const call_request& request,
         std::function<void(result<call_answer>)> done) override;
-    void order(const std::string& address, const order_request& request, duration timeout,
-        std::function<void(result<void>)> done) override;
     void queryState(
         const std::string& address, duration timeout, std::function<void(result<engine_state>)> done) override;
 
--- a/balsamspring/base/ids.h
+++ b/balsamspring/base/ids.h
@@ -53,7 +53,6 @@
 using stream_id = number_id<struct stream_tag>;
 using config_version = number_id<struct config_version_tag>;
 using log_offset = number_id<struct log_offset_tag>;
-using fencing_number = number_id<struct fencing_number_tag>;
 using incarnation = number_id<struct incarnation_tag>;
 using fingerprint = number_id<struct fingerprint_tag>;
 
--- a/balsamspring/claims/claim_runtime.cc
+++ b/balsamspring/claims/claim_runtime.cc
@@ -7,6 +7,12 @@
 
 namespace balsamspring {
 
+namespace {
+
+std::string claimStream(std::uint32_t partition) { return "claims-" + std::to_string(partition); }
+
+} // namespace
+
 struct claim_runtime::partition {
     partition(std::uint32_t partitionNumber, const claim_options& options, internal::claim_mechanisms mechanisms,
         const claim_identity& self, claim_holder_hooks hooks)
@@ -23,7 +29,6 @@
     claim_book book;
     claim_holder holder;
     append_batcher batcher;
-    bool followed = true;
     bool reading = false;
     bool morePages = true; // the last page did not reach the tail
     bool caughtUp = false;
@@ -61,28 +66,14 @@
     , m_random(random)
     , m_mechanisms(mechanisms)
 {
+    for (std::uint32_t number = 0; number < m_options.partitions; ++number)
+        addPartition(number);
 }
 
 claim_runtime::~claim_runtime() = default;
 
-void claim_runtime::setMembers(const std::vector<vm_id>& members)
-{
-    m_members = members;
-    for (auto& [number, part] : m_partitions)
-        part->followed = false;
-    for (const std::uint32_t number : followedPartitions(m_self.vm, m_options.partitions, members)) {
-        addPartition(number);
-        m_partitions.at(number)->followed = true;
-    }
-    // A partition that this VM no longer follows is kept until its open calls are recorded.
-    std::erase_if(
-        m_partitions, [](const auto& entry) { return !entry.second->followed && !entry.second->holder.open(); });
-}
-
 void claim_runtime::addPartition(std::uint32_t number)
 {
-    if (m_partitions.contains(number))
-        return;
     m_partitions.emplace(
         number, std::make_unique<partition>(number, m_options, m_mechanisms, m_self, holderHooks(number)));
 }
@@ -130,9 +121,10 @@
     const auto parsed = m_signer.verify(team, key);
     if (!parsed)
         return refuse(work_state::NotRun, "invalid_key");
+    // Only a key of a former number of partitions is in none of them; its records are not read.
     const auto found = m_partitions.find(parsed->partition);
     if (found == m_partitions.end())
-        return refuse(work_state::Unknown, "not_followed");
+        return refuse(work_state::Unknown, "log_unavailable");
     if (!isReady(*found->second, m_hooks.now()))
         return refuse(work_state::Unknown, "log_unavailable");
     id = parsed->id;
@@ -183,7 +175,7 @@
 {
     std::vector<const partition*> usable;
     for (const auto& [number, part] : m_partitions) {
-        if (part->followed && isReady(*part, m_hooks.now()))
+        if (isReady(*part, m_hooks.now()))
             usable.push_back(part.get());
     }
     if (usable.empty())
@@ -192,20 +184,6 @@
     return m_signer.issue(team, { part.number, { part.book.next(), newNonce() } });
 }
 
-result<std::vector<vm_id>> claim_runtime::followersOf(const std::string& key, const team_id& team) const
-{
-    const auto parsed = m_signer.verify(team, key);
-    if (!parsed)
-        return tl::make_unexpected(parsed.error());
-    return partitionFollowers(parsed->partition, m_members);
-}
-
-bool claim_runtime::follows(std::uint32_t number) const
-{
-    const auto found = m_partitions.find(number);
-    return found != m_partitions.end() && found->second->followed;
-}
-
 bool claim_runtime::isReady(const partition& part, mono_time now) const
 {
     return part.caughtUp && part.tailAsOf && now - *part.tailAsOf <= m_options.staleAfter;
@@ -221,7 +199,7 @@
 {
     const mono_time now = m_hooks.now();
     return !m_partitions.empty() && std::all_of(m_partitions.begin(), m_partitions.end(), [&](const auto& entry) {
-        return !entry.second->followed || isReady(*entry.second, now);
+        return isReady(*entry.second, now);
     });
 }
 
--- a/balsamspring/claims/claim_runtime.h
+++ b/balsamspring/claims/claim_runtime.h
@@ -1,7 +1,6 @@
 // Non-idempotent calls of one VM over the platform's log.
 //
 //     claim_runtime claims(log, options, secret, { vm, incarnation }, { post, monotonicNow });
-//     claims.setMembers(members); // on each change of the membership view
 //     claims.tick();              // at nextWake(), at the latest every 100 ms
 //     claims.run({ key, team, "transfer", body, deadline, send, done });
 #pragma once
@@ -9,7 +8,6 @@
 #include "balsamspring/base/random.h"
 #include "balsamspring/claims/append_batcher.h"
 #include "balsamspring/claims/claim_holder.h"
-#include "balsamspring/claims/claim_partitions.h"
 
 #include <functional>
 #include <map>
@@ -65,12 +63,8 @@
     claim_runtime(const claim_runtime&) = delete;
     claim_runtime& operator=(const claim_runtime&) = delete;
 
-    // Follows the partitions for which this VM is among the first followers. Not to be called from a callback of a
-    // request, because it may end the partition that runs it.
-    void setMembers(const std::vector<vm_id>& members);
-
     // Refused with `not_run` for a key that does not verify. Otherwise a refusal says `unknown`, and `not_run` for this
-    // attempt alone: reasons `not_followed` (forward to `followersOf`), `log_unavailable`, `draining`, `key_expired`.
+    // attempt alone: reasons `log_unavailable`, `draining`, `key_expired`.
     void run(claim_run call);
 
     // For a call that admission refuses: closes the key, so that `not_run` can be told.
@@ -82,18 +76,13 @@
     void settle(const std::string& key, const team_id& team, const settlement_entry& verdict, mono_time deadline,
         claim_callback done);
 
-    // Error `Unavailable` while no followed partition is ready.
+    // Error `Unavailable` while no partition is ready.
     result<std::string> issueKey(const team_id& team);
 
-    // The VMs to forward a call under this key to, in order of preference. Error `InvalidArgument` for a bad key.
-    result<std::vector<vm_id>> followersOf(const std::string& key, const team_id& team) const;
-
-    bool follows(std::uint32_t partition) const;
-
-    // Followed, read from its earliest offset to the tail, and not stale.
+    // Read from its earliest offset to the tail, and not stale.
     bool ready(std::uint32_t partition) const;
 
-    // All followed partitions are ready, and there is one.
+    // All partitions are ready.
     bool ready() const;
 
     // Refuses new calls from now on. `drained` when every outcome and close is recorded.
@@ -125,7 +114,6 @@
     claim_runtime_hooks m_hooks;
     random_engine m_random;
     internal::claim_mechanisms m_mechanisms;
-    std::vector<vm_id> m_members;
     std::map<std::uint32_t, std::unique_ptr<partition>> m_partitions;
     std::uint64_t m_nonces = 0;
     bool m_draining = false;
--- a/balsamspring/config/config_checks.cc
+++ b/balsamspring/config/config_checks.cc
@@ -122,7 +122,6 @@
         for (const auto& [name, team] : m_config.teams())
             checkTeam(name, team);
         checkClaims();
-        checkOrders();
     }
 
 private:
@@ -132,8 +131,6 @@
         if (pool.servers().empty())
             add(path, fmt::format("\"{}\" has no server at this site", path));
         const bool isEngine = pool.kind() == schema::pool::engine;
-        if (!isEngine && (pool.checks_fencing() || pool.authenticates_orders()))
-            add(path, fmt::format("\"{}\" takes no orders, only pools of kind engine do", path));
         // A map field has no order; sorted names make the findings equal on every VM.
         const std::map<std::string, schema::backend_server> servers(pool.servers().begin(), pool.servers().end());
         for (const auto& [name, server] : servers) {
@@ -276,13 +273,6 @@
             add("claims.outcome_wait_ms", "claims.outcome_wait_ms must be less than claims.settle_wait_ms");
     }
 
-    // An order that outlives the lease could arrive after another VM's order.
-    void checkOrders()
-    {
-        if (m_config.orders().order_timeout_ms() >= m_config.orders().duration_ms())
-            add("orders.order_timeout_ms", "orders.order_timeout_ms must be less than orders.duration_ms");
-    }
-
     const schema::configuration& m_config;
     std::map<std::string, std::string> m_serverOfAddress;
     std::map<std::string, std::string> m_teamOfToken;
@@ -301,7 +291,6 @@
         requireText(settings.resume_key_file(), "resume_key_file");
         requireAddress(settings.caller_address(), "caller_address", port_rule::MayBeChosenBySystem);
         requireAddress(settings.operator_address(), "operator_address", port_rule::MayBeChosenBySystem);
-        checkOptional(settings.peer_address(), "peer_address", port_rule::MayBeChosenBySystem);
         checkOptional(settings.log_address(), "log_address", port_rule::Fixed);
         checkOptional(settings.vm_list_address(), "vm_list_address", port_rule::Fixed);
         if (!isSha256Hex(settings.operator_token_sha256()))
--- a/balsamspring/config/field_rules.cc
+++ b/balsamspring/config/field_rules.cc
@@ -24,9 +24,6 @@
     field_rule { "claims.send_window_ms", 2'000, 1, hourMs },
     field_rule { "claims.outcome_wait_ms", 30'000, 1, hourMs },
     field_rule { "claims.settle_wait_ms", 600'000, 1, dayMs },
-    field_rule { "orders.duration_ms", 10'000, 100, hourMs },
-    field_rule { "orders.order_timeout_ms", 2'000, 1, hourMs },
-    field_rule { "orders.weight_loads_per_minute", 6, 0, 10'000 },
 };
 
 constexpr std::array settingsTable {
--- a/balsamspring/membership/backend_view.cc
+++ b/balsamspring/server/backend_view.cc
@@ -1,4 +1,4 @@
-#include "balsamspring/membership/backend_view.h"
+#include "balsamspring/server/backend_view.h"
 
 namespace balsamspring {
 
@@ -24,7 +24,7 @@
         backend_status& status = ensure(backend_id(entry.id.value()));
         status.named = now;
         if (entry.state == vm_state::Leaving)
-            setLeaving(status, leaving_source::VmList, now);
+            setLeaving(status, now);
         else if (status.state == backend_state::Leaving && now - status.leavingSince >= m_options.leavingHold)
             setLive(status);
     }
@@ -38,20 +38,11 @@
     if (generation)
         status.generation = generation;
     if (leaving)
-        setLeaving(status, leaving_source::Reply, now);
+        setLeaving(status, now);
     else if (restarted && status.state == backend_state::Leaving)
         setLive(status);
 }
 
-void backend_view::onLeaving(const backend_id& server, std::uint64_t generation, leaving_source source, mono_time now)
-{
-    backend_status& status = ensure(server);
-    // News about an earlier generation says nothing about the server that runs there now.
-    if (generation && status.generation && generation != status.generation)
-        return;
-    setLeaving(status, source, now);
-}
-
 void backend_view::tick(mono_time now)
 {
     std::erase_if(m_servers, [&](const auto& item) { return now - item.second.named > m_options.forgetAfter; });
@@ -85,7 +76,7 @@
     return status;
 }
 
-void backend_view::setLeaving(backend_status& status, leaving_source source, mono_time now)
+void backend_view::setLeaving(backend_status& status, mono_time now)
 {
     const bool first = status.state != backend_state::Leaving;
     status.leavingSince = now; // each sign renews the hold
@@ -93,8 +84,6 @@
         return;
     status.state = backend_state::Leaving;
     m_hooks.changed(status);
-    if (source != leaving_source::Peer)
-        m_hooks.announceLeaving(status.id, status.generation);
 }
 
 void backend_view::setLive(backend_status& status)
--- a/balsamspring/membership/backend_view.h
+++ b/balsamspring/server/backend_view.h
@@ -15,9 +15,6 @@
 
 enum class backend_state : std::uint8_t { Live, Leaving };
 
-// Where a sign that a server leaves came from; the label of a counter.
-enum class leaving_source : std::uint8_t { VmList, Reply, RefusedCall, Peer };
-
 struct backend_view_options {
     duration leavingHold = std::chrono::seconds(30); // against flapping: a leaving generation stays so this long
     duration listStaleAfter = std::chrono::seconds(10); // age at which the VM list counts as stale
@@ -34,8 +31,6 @@
 
 struct backend_view_hooks {
     std::function<void(const backend_status&)> changed;
-    // First sign of leaving that did not come from a peer: to be spread to all VMs.
-    std::function<void(const backend_id&, std::uint64_t generation)> announceLeaving;
 };
 
 // Not thread safe; free of I/O.
@@ -52,9 +47,6 @@
     // A reply of the server. A new generation is a new server and live at once, unless the reply says that it leaves.
     void onReply(const backend_id& server, std::uint64_t generation, bool leaving, mono_time now);
 
-    // The server refused a call because it is leaving, or a peer spread that sign. Generation 0: the current one.
-    void onLeaving(const backend_id& server, std::uint64_t generation, leaving_source source, mono_time now);
-
     // Drops servers that nothing names any more.
     void tick(mono_time now);
 
@@ -64,7 +56,7 @@
 
 private:
     backend_status& ensure(const backend_id& server);
-    void setLeaving(backend_status& status, leaving_source source, mono_time now);
+    void setLeaving(backend_status& status, mono_time now);
     void setLive(backend_status& status);
 
     backend_view_options m_options;
--- a/balsamspring/server/call_claims.cc
+++ b/balsamspring/server/call_claims.cc
@@ -69,8 +69,7 @@
 or_refusal<std::string> stateText(const std::string& key, const claim_answer& answer)
 {
     const bool isRefusal = answer.reason == "invalid_key" || answer.reason == "key_expired"
-        || answer.reason == "log_unavailable" || answer.reason == "not_followed" || answer.reason == "no_claim"
-        || answer.reason == "settled_too_early";
+        || answer.reason == "log_unavailable" || answer.reason == "no_claim" || answer.reason == "settled_too_early";
     if (isRefusal) {
         refusal refused = makeRefusal(answer.reason, messageFor(answer));
         refused.failure.work = answer.work;
@@ -116,7 +115,6 @@
 call_claims::call_claims(call_claims_options options)
     : m_options(std::move(options))
     , m_signer(m_options.secret)
-    , m_members { m_options.self.vm }
 {
 }
 
@@ -139,10 +137,7 @@
     request.body = fmt::format("{}/{}/{}", call.pipeline.value(), call.stage, call.bodyDigest);
     request.deadline = now + call.timeout;
     request.send = sender(call);
-    request.done = [this, call, done](const claim_answer& answer) {
-        const auto followers = m_claims->followersOf(call.key, call.team);
-        if (answer.reason == "not_followed" && m_forwardCall && followers && !call.forwarded)
-            return m_forwardCall(*followers, call, done);
+    request.done = [done](const claim_answer& answer) {
         done(outcomeOf(answer));
     };
     m_claims->run(std::move(request));
@@ -303,18 +298,10 @@
     m_claims = std::make_unique<claim_runtime>(*m_options.log, options, m_options.secret, m_options.self,
         claim_runtime_hooks { m_options.postAnswer, monotonicNow },
         random_engine(static_cast<std::uint64_t>(device()) << 32 | device()));
-    m_claims->setMembers(m_members);
     if (m_draining)
         m_claims->drain();
 }
 
-void call_claims::setMembers(const std::vector<vm_id>& members)
-{
-    m_members = members;
-    if (m_claims)
-        m_claims->setMembers(members);
-}
-
 void call_claims::drain()
 {
     m_draining = true;
--- a/balsamspring/server/call_claims.h
+++ b/balsamspring/server/call_claims.h
@@ -18,10 +18,6 @@
 using text_reply = std::function<void(or_refusal<std::string>)>; // JSON text
 using outcome_callback = std::function<void(non_idempotent_outcome)>;
 
-// Passes a call on to one of the VMs that follow its partition.
-using forward_call_hook
-    = std::function<void(const std::vector<vm_id>& followers, const non_idempotent_call&, outcome_callback)>;
-
 struct call_claims_options {
     claim_identity self;
     std::string secret; // signs keys; the same on all VMs
@@ -55,8 +51,6 @@
 
     // The options of claims of the first configuration hold until the daemon restarts.
     void configure(const schema::configuration& config);
-    void setMembers(const std::vector<vm_id>& members);
-    void setForwardCall(forward_call_hook hook) { m_forwardCall = std::move(hook); }
     void drain();
     // Does what is due and returns when it wants to run again.
     mono_time wake(mono_time now);
@@ -72,9 +66,7 @@
     call_key_signer m_signer;
     std::unique_ptr<claim_runtime> m_claims;
     std::string m_sourceText; // options of the configuration with which m_claims was made
-    std::vector<vm_id> m_members;
     std::vector<team_id> m_teams;
-    forward_call_hook m_forwardCall;
     std::atomic<bool> m_ready { false };
     std::atomic<bool> m_drained { false };
     bool m_draining = false;
--- a/balsamspring/server/control_plane.cc
+++ b/balsamspring/server/control_plane.cc
@@ -99,17 +99,10 @@
 void control_plane::setMembers(const std::vector<placed_vm>& members)
 {
     m_state->post([self = m_state.get(), members](mono_time now) {
-        std::vector<vm_id> ids;
-        ids.reserve(members.size());
-        for (const placed_vm& member : members)
-            ids.push_back(member.id);
-        self->claims.setMembers(ids);
         self->options.serving->run([&](serving_core& core) { core.setVms(members, now); });
     });
 }
 
-void control_plane::setForwardCall(forward_call_hook hook) { m_state->claims.setForwardCall(std::move(hook)); }
-
 void control_plane::addReadiness(readiness& answer) const
 {
     const auto condition = m_state->config ? m_state->config->condition() : config_condition::Current;
--- a/balsamspring/server/control_plane.h
+++ b/balsamspring/server/control_plane.h
@@ -40,9 +40,6 @@
     // The entry VMs, this one included. Until the first call it is this VM alone.
     void setMembers(const std::vector<placed_vm>& members);
 
-    // Before the thread starts.
-    void setForwardCall(forward_call_hook hook);
-
     // Adds what keeps this VM from taking requests to the answer, which already holds the daemon's own reasons.
     void addReadiness(readiness& answer) const;
 
--- a/balsamspring/server/daemon.cc
+++ b/balsamspring/server/daemon.cc
@@ -4,13 +4,12 @@
 #include "balsamspring/base/log.h"
 #include "balsamspring/platform/http_log_client.h"
 #include "balsamspring/platform/http_vm_list_client.h"
-#include "balsamspring/server/call_forwarding.h"
+#include "balsamspring/server/backend_watch.h"
 #include "balsamspring/server/caller_api.h"
 #include "balsamspring/server/control_plane.h"
 #include "balsamspring/server/control_thread.h"
 #include "balsamspring/server/guarded_serving.h"
 #include "balsamspring/server/operator_api.h"
-#include "balsamspring/server/peer_wiring.h"
 #include "balsamspring/server/socket_table.h"
 
 #include <atomic>
@@ -75,7 +74,7 @@
     std::shared_ptr<request_service> service;
     std::unique_ptr<caller_api> callers;
     std::unique_ptr<operator_api> operators;
-    std::unique_ptr<peer_wiring> peers;
+    std::unique_ptr<backend_watch> backends;
     std::atomic<std::shared_ptr<const config_snapshot>> config;
     std::atomic<bool> drainAsked { false };
 
@@ -85,6 +84,7 @@
     void buildPlane();
     void build();
     void followVmList();
+    void onVmList(const std::vector<vm_entry>& entries, mono_time now);
     void guardConnections(mono_time now);
     readiness ready() const;
     std::map<std::string, operator_handler> operatorHandlers();
@@ -196,8 +196,17 @@
     };
     operatorOptions.handlers = operatorHandlers();
     operators = std::make_unique<operator_api>(std::move(operatorOptions));
-    control->every(
-        servingTick, [shared = serving](mono_time now) { shared->run([&](serving_core& core) { core.tick(now); }); });
+    control->every(servingTick, [shared = serving](mono_time now) {
+        const auto suspects = shared->run([&](serving_core& core) {
+            core.tick(now);
+            return core.takeQuarantineUpdates();
+        });
+        for (const auto& suspect : suspects) {
+            logLine(log_level::Warn, "content_standing",
+                { { "content", fmt::format("{:x}", suspect.content.value()) },
+                    { "standing", suspect.standing == content_standing::Quarantined ? "quarantined" : "suspect" } });
+        }
+    });
     for (const std::string& address : { options.settings.caller_address(), options.settings.operator_address() })
         guardedPorts.emplace_back(address);
     control->every(guardInterval, [this](mono_time now) { guardConnections(now); });
@@ -205,18 +214,7 @@
         shared->run([&](serving_core& core) { totals->observeServing(core.costs(), core.routing()); });
     });
     control->every(expiryInterval, [runs = registry](mono_time now) { runs->expire(now); });
-    peer_wiring_hooks peerHooks;
-    peerHooks.vmsChanged = [this](const std::vector<member_info>& vms) {
-        std::vector<placed_vm> placed;
-        placed.reserve(vms.size());
-        for (const member_info& vm : vms)
-            placed.push_back({ vm.key.vm, vm.zone });
-        plane->setMembers(placed);
-    };
-    peerHooks.forwardCall = serveForwardedCalls(plane->claims());
-    peers = std::make_unique<peer_wiring>(options.settings, processIncarnation, serving, *control, peerHooks);
-    if (peers->runtime())
-        plane->setForwardCall(forwardCallOver(*peers->runtime()));
+    backends = std::make_unique<backend_watch>(serving, *control);
     followVmList();
 }
 
@@ -233,12 +231,25 @@
                 return;
             self->control->postAnswer([weak, entries = *list](mono_time now) {
                 if (const auto owner = weak.lock())
-                    owner->peers->onVmList(entries, now);
+                    owner->onVmList(entries, now);
             });
         });
     });
 }
 
+void entry_daemon::state::onVmList(const std::vector<vm_entry>& entries, mono_time now)
+{
+    backends->onVmList(entries, now);
+    std::vector<placed_vm> vms;
+    for (const vm_entry& entry : entries) {
+        if (entry.kind == vm_kind::Entry && entry.state == vm_state::Live)
+            vms.push_back({ entry.id, entry.zone });
+    }
+    // An empty list is a fault of its service; this VM is always there.
+    if (!vms.empty())
+        plane->setMembers(vms);
+}
+
 void entry_daemon::state::guardConnections(mono_time now)
 {
     const auto snapshot = config.load();
@@ -300,13 +311,6 @@
         }
         reply(std::string("{\"draining\":true}"));
     };
-    // Without a peer service the control plane answers for this VM alone.
-    if (!options.settings.peer_address().empty()) {
-        handlers["GET /v1/config/members"] = [weak](const operator_call&, const operator_reply& reply) {
-            if (const auto self = weak.lock())
-                self->peers->configMembers([reply](const std::string& body) { reply(body); });
-        };
-    }
     return handlers;
 }
 
@@ -321,7 +325,6 @@
     serving->run([&](serving_core& core) { core.configure(*snapshot, monotonicNow()); });
     config.store(*snapshot);
     plane->configurationInForce(*snapshot);
-    peers->setConfigVersion(version);
     logLine(log_level::Info, "config_in_force", { { "version", std::to_string(version.value()) } });
     return {};
 }
@@ -349,8 +352,6 @@
 
 result<void> entry_daemon::start()
 {
-    if (auto started = m_state->peers->start(); !started)
-        return started;
     m_state->control->start();
     const schema::daemon_settings& settings = m_state->options.settings;
     if (!settings.operator_address().empty()) {
@@ -371,7 +372,6 @@
 void entry_daemon::drainAndStop()
 {
     m_state->service->drain();
-    m_state->peers->announceLeaving();
     const mono_time limit = monotonicNow() + m_state->drainLimit();
     logLine(log_level::Info, "drain_started", { { "in_flight", std::to_string(m_state->registry->active()) } });
     m_state->plane->drain();
@@ -382,7 +382,6 @@
     std::this_thread::sleep_for(flushTime);
     m_state->callers->stop();
     m_state->operators->stop();
-    m_state->peers->stop();
     m_state->control->stop();
 }
 
--- a/balsamspring/server/memory_backend.cc
+++ b/balsamspring/server/memory_backend.cc
@@ -131,14 +131,9 @@
     });
 }
 
-void memory_backend::order(const std::string&, const order_request&, duration, std::function<void(result<void>)> done)
-{
-    runSoon([done = std::move(done)] { done({}); });
-}
-
 void memory_backend::queryState(const std::string&, duration, std::function<void(result<engine_state>)> done)
 {
-    runSoon([done = std::move(done)] { done(engine_state { 1, {}, {}, {} }); });
+    runSoon([done = std::move(done)] { done(engine_state { 1, {}, {} }); });
 }
 
 } // namespace balsamspring
--- a/balsamspring/server/memory_backend.h
+++ b/balsamspring/server/memory_backend.h
@@ -42,8 +42,6 @@
     void cancelStream(const std::string& address, stream_id stream, std::function<void(result<void>)> done) override;
     void call(const std::string& address, const call_request& request,
         std::function<void(result<call_answer>)> done) override;
-    void order(const std::string& address, const order_request& request, duration timeout,
-        std::function<void(result<void>)> done) override;
     void queryState(
         const std::string& address, duration timeout, std::function<void(result<engine_state>)> done) override;
 
--- a/balsamspring/server/refusal.cc
+++ b/balsamspring/server/refusal.cc
@@ -38,7 +38,6 @@
     { "no_claim", 409 },
     { "no_server", 503 },
     { "not_available", 501 },
-    { "not_followed", 503 },
     { "not_found", 404 },
     { "outcome_unknown", 504 },
     { "overloaded", 503 },
--- a/balsamspring/server/serving_core.h
+++ b/balsamspring/server/serving_core.h
@@ -74,7 +74,6 @@
     stage_budget budget(const pipeline_plan& plan, std::size_t stage, duration remaining) const;
 
     // News of other VMs about crashing requests, and this VM's own.
-    void learn(const crash_quarantine::update& news, mono_time now) { m_quarantine.learn(news, now); }
     std::vector<crash_quarantine::update> takeQuarantineUpdates() { return m_quarantine.takeUpdates(); }
     std::vector<server_sign> takeSigns() { return std::exchange(m_signs, {}); }
     std::vector<choice> takeChoices() { return std::exchange(m_choices, {}); }
--- a/balsamspring/server/serving_hooks.h
+++ b/balsamspring/server/serving_hooks.h
@@ -34,7 +34,6 @@
     std::string operation;
     std::string input;
     attempt_id attempt;
-    bool forwarded = false; // another VM passed it on
     duration timeout {};
 };
 
--- a/tools/generate_schema.sh
+++ b/tools/generate_schema.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Regenerates balsamspring/schema and balsamspring/gather_schema from proto/. Needs protobuf-compiler and protobuf-compiler-grpc; the build does not.
+# Regenerates balsamspring/schema and balsamspring/gather_schema from proto/. Needs protobuf-compiler; the build does not.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=balsamspring/schema
@@ -10,7 +10,4 @@
         continue
     fi
     protoc --proto_path=proto --cpp_out="$out" "$file"
-    if grep -q '^service ' "$file"; then
-        protoc --proto_path=proto --grpc_out="$out" --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" "$file"
-    fi
 done
--- a/tools/install_dependencies.sh
+++ b/tools/install_dependencies.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
     g++ cmake ninja-build ccache clang-format clang-tidy git
-    libcpprest-dev libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc prometheus-cpp-dev
+    libcpprest-dev libprotobuf-dev protobuf-compiler prometheus-cpp-dev
     libtomlplusplus-dev libboost-program-options-dev libboost-system-dev libssl-dev libfmt-dev libexpected-dev
     catch2 libtrompeloeil-cpp-dev libbenchmark-dev libxxhash-dev libpcg-cpp-dev nlohmann-json3-dev curl
 )
