Let the owner of the next partition stand in for a gatherer that cannot be reached

The log service deals its partitions anew after three seconds.

Change: a VM that gets no answer sends its pieces to the owner of the next partition, whom all VMs know alike, and asks the owner again once a second. Pieces that waited for the owner follow. The stand-in may use all servers of the pool while it is asked.

Test: pool_ownership with an owner, a stand-in and an asker; fails without the change, which had nobody to ask.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -459,7 +459,7 @@
     exchange_client backends;
     piece_service pieces;
     piece_router router;
-    const pool_ownership* sharedOwnership = nullptr; // of `ownership`
+    pool_ownership* sharedOwnership = nullptr; // of `ownership`
     piece_gatherer gatherer;
     std::unique_ptr<pool_ownership> ownership; // none without an address for other VMs
     gateway_context context;
--- a/balsamspring/gateway/gateway_test.cc
+++ b/balsamspring/gateway/gateway_test.cc
@@ -1,3 +1,4 @@
+#include "balsamspring/base/hash.h"
 #include "balsamspring/gateway/config_state.h"
 #include "balsamspring/gateway/event_splitter.h"
 #include "balsamspring/gateway/log_buffer.h"
@@ -431,7 +432,7 @@
     // The owners are asked for only when the group has changed.
     later();
     CHECK(ownerQuestions == 1);
-    ownership.unreachable(pool_id("p"), start);
+    ownership.unreachable(pool_id("p"), owner, start);
     // What the owner does for others goes on.
     CHECK(ownership.otherOwner(pool_id("q"), start) == owner);
     CHECK_FALSE(ownership.otherOwner(pool_id("p"), start + 900ms));
@@ -444,6 +445,57 @@
     CHECK_FALSE(ownership.isOwner(pool_id("p")));
 }
 
+TEST_CASE("while a gatherer cannot be reached, the owner of the next partition stands in")
+{
+    // A VM that lost power keeps its partitions for seconds. On cito-quebec-grown scale-1 every VM called the servers
+    // of the pool itself for four seconds: calls held 8 of 56 pieces.
+    record_store store;
+    const endpoint first { "10.0.0.1", 7000 };
+    const endpoint second { "10.0.0.2", 7000 };
+    const endpoint third { "10.0.0.3", 7000 };
+    store.groupOwners = [&](const auto&, const record_store::reply<std::vector<partition_owner>>& reply) {
+        reply(std::vector<partition_owner> { { 0, toString(first) }, { 1, toString(first) }, { 2, toString(second) } });
+    };
+    const auto makeOwnership = [&](const endpoint& self) {
+        ownership_options options;
+        options.gathers = false;
+        options.partitions = 3;
+        auto ownership = std::make_unique<pool_ownership>(options, self, store,
+            ownership_hooks {
+                .now = [] { return start; },
+                .after = [](duration, const std::function<void()>&) {},
+                .onChanged = [] {},
+            });
+        ownership->start();
+        return ownership;
+    };
+    pool_id pool("p");
+    for (int i = 0; hash64(pool.value()) % 3 != 0; ++i)
+        pool = pool_id("p" + std::to_string(i));
+    const auto asker = makeOwnership(third);
+    const auto standIn = makeOwnership(second);
+    CHECK(asker->otherGatherer(pool, start) == first);
+    CHECK_FALSE(standIn->gathersFor(pool, start));
+    asker->unreachable(pool, first, start);
+    CHECK(asker->otherGatherer(pool, start) == second);
+    CHECK_FALSE(asker->otherOwner(pool, start)); // a topic has no stand-in
+    REQUIRE(standIn->takesWork(pool, start));
+    CHECK(standIn->gathersFor(pool, start + 1400ms));
+    CHECK_FALSE(standIn->gathersFor(pool, start + 1600ms));
+    CHECK_FALSE(makeOwnership(third)->takesWork(pool, start));
+    // One request a second finds out whether the owner is back.
+    const mono_time later = start + 1100ms;
+    CHECK(asker->otherGatherer(pool, later) == first);
+    asker->asking(pool, first, later);
+    CHECK(asker->otherGatherer(pool, later) == second);
+    asker->answered(pool, first);
+    CHECK(asker->otherGatherer(pool, later) == first);
+    // Neither can be reached: this VM calls the servers itself.
+    asker->unreachable(pool, first, later);
+    asker->unreachable(pool, second, later);
+    CHECK_FALSE(asker->otherGatherer(pool, later));
+}
+
 TEST_CASE("a VM with a weak link asks who gathers and never gathers itself")
 {
     // On the grown sites the gatherer had a link of 10 Mbit/s: calls took 441 ms instead of 235.
@@ -475,7 +527,7 @@
     now += 300ms;
     later();
     CHECK(questions == 2);
-    ownership.unreachable(pool_id("p"), now);
+    ownership.unreachable(pool_id("p"), owner, now);
     now += 300ms;
     later();
     CHECK(questions == 3);
--- a/balsamspring/gateway/piece_gatherer.cc
+++ b/balsamspring/gateway/piece_gatherer.cc
@@ -110,7 +110,7 @@
 }
 
 piece_gatherer::piece_gatherer(gatherer_options options, event_loop& loop, piece_service& pieces,
-    const config_state& config, const pool_ownership* const& ownership)
+    const config_state& config, pool_ownership* const& ownership)
     : m_options(options)
     , m_loop(loop)
     , m_pieces(pieces)
@@ -137,7 +137,7 @@
     const pool_spec* pool = config ? config->pool(pool_id(decoded.pool())) : nullptr;
     if (!pool || !pool->pieces || !m_ownership)
         return writer->send(answerHead(unavailable), {});
-    if (!m_ownership->isOwner(pool->id)) {
+    if (!m_ownership->takesWork(pool->id, request.received)) {
         const auto owner = m_ownership->knownOwner(pool->id);
         return writer->send(answerHead(unavailable), owner ? toString(*owner) : std::string());
     }
@@ -155,6 +155,9 @@
     work.priority = decoded.priority();
     work.inputZone = zone_id(decoded.input_zone());
 
+    // A stand-in has called the servers itself until now, one call at a time.
+    if (!m_ownership->isOwner(pool->id))
+        m_pieces.limitCalls(pool->id, 0);
     auto gathered = std::make_shared<gathered_work>();
     gathered->writer = writer;
     writer->begin(answerHead(okStatus));
--- a/balsamspring/gateway/piece_gatherer.h
+++ b/balsamspring/gateway/piece_gatherer.h
@@ -32,7 +32,7 @@
 public:
     // Work for a pool that this VM does not gather for is declined, naming the VM that does if it is known.
     piece_gatherer(gatherer_options options, event_loop& loop, piece_service& pieces, const config_state& config,
-        const pool_ownership* const& ownership);
+        pool_ownership* const& ownership);
 
     // Answers one request of another VM.
     void handle(const incoming_request& request, const std::shared_ptr<response_writer>& writer);
@@ -45,7 +45,7 @@
     event_loop& m_loop;
     piece_service& m_pieces;
     const config_state& m_config;
-    const pool_ownership* const& m_ownership; // null until the VM has joined others
+    pool_ownership* const& m_ownership; // null until the VM has joined others
 };
 
 } // namespace balsamspring
--- a/balsamspring/gateway/piece_router.cc
+++ b/balsamspring/gateway/piece_router.cc
@@ -57,7 +57,7 @@
     void start(piece_ticket ticket)
     {
         routed_work& routed = works.at(ticket);
-        const auto owner = ownership ? ownership->otherOwner(routed.work.pool, bootNow()) : std::nullopt;
+        const auto owner = ownership ? ownership->otherGatherer(routed.work.pool, bootNow()) : std::nullopt;
         if (owner)
             return ask(ticket, *owner);
         runHere(ticket);
@@ -74,7 +74,7 @@
 
     void limit(const pool_id& pool)
     {
-        const bool own = !ownership || ownership->isOwner(pool);
+        const bool own = !ownership || ownership->gathersFor(pool, bootNow());
         local.limitCalls(pool, own ? 0 : options.ownCalls);
     }
 
@@ -82,6 +82,7 @@
     {
         routed_work& routed = works.at(ticket);
         routed.owner = owner;
+        ownership->asking(routed.work.pool, owner, bootNow());
         exchange_request request;
         request.bytes = post(owner, gatherPath, encodeGatherRequest(routed.work, bootNow()));
         request.maxIdle = options.idleReuse;
@@ -135,6 +136,7 @@
             return fallBack(ticket, "unreadable");
         loop.cancel(found->second.silenceTimer);
         lastAnswer[found->second.owner] = bootNow();
+        ownership->answered(found->second.work.pool, found->second.owner);
         finish(ticket, std::move(answer.outcome));
     }
 
@@ -147,10 +149,18 @@
         if (!other || routed.redirected)
             return fallBack(ticket, "declined");
         loop.cancel(routed.silenceTimer);
+        askInstead(ticket, *named);
+    }
+
+    // Once a piece: VMs with different views must not send it round.
+    void askInstead(piece_ticket ticket, const endpoint& other)
+    {
+        routed_work& routed = works.at(ticket);
         routed.redirected = true;
+        routed.status = 0;
         routed.body.clear();
         metrics.count("gather_fallbacks", "redirected");
-        ask(ticket, *named);
+        ask(ticket, other);
     }
 
     void fallBack(piece_ticket ticket, std::string_view why)
@@ -171,8 +181,11 @@
         // One failed call says little about an owner that has just answered others.
         const mono_time now = bootNow();
         if (why != "declined" && now - lastAnswer[routed.owner] > options.silenceLimit)
-            ownership->unreachable(routed.work.pool, now);
-        runHere(ticket);
+            ownership->unreachable(routed.work.pool, routed.owner, now);
+        const auto other = ownership->otherGatherer(routed.work.pool, now);
+        if (!other || *other == routed.owner || routed.redirected)
+            return runHere(ticket);
+        askInstead(ticket, *other);
     }
 
     void finish(piece_ticket ticket, result<std::vector<piece_result>> outcome)
@@ -202,7 +215,7 @@
     {
         if (results.empty())
             return;
-        if (!ownership || !ownership->otherOwner(pool, bootNow()))
+        if (!ownership || !ownership->otherGatherer(pool, bootNow()))
             return local.release(pool, results);
         auto& waiting = releases[pool];
         waiting.insert(waiting.end(), results.begin(), results.end());
@@ -220,7 +233,7 @@
         const auto batches = std::move(releases);
         releases.clear();
         for (const auto& [pool, results] : batches) {
-            const auto owner = ownership->otherOwner(pool, bootNow());
+            const auto owner = ownership->otherGatherer(pool, bootNow());
             if (!owner) {
                 local.release(pool, results);
                 continue;
--- a/balsamspring/gateway/pool_ownership.cc
+++ b/balsamspring/gateway/pool_ownership.cc
@@ -101,17 +101,72 @@
     return owner && *owner == m_self;
 }
 
+const endpoint* pool_ownership::standInOf(const pool_id& pool) const
+{
+    const endpoint* owner = ownerOf(pool);
+    if (!owner)
+        return nullptr;
+    const auto partition = static_cast<std::uint32_t>(hash64(pool.value()) % m_options.partitions);
+    for (std::uint32_t step = 1; step < m_options.partitions; ++step) {
+        const auto found = m_owners.find((partition + step) % m_options.partitions);
+        if (found != m_owners.end() && found->second != *owner)
+            return &found->second;
+    }
+    return nullptr;
+}
+
+bool pool_ownership::setAside(const pool_id& pool, const endpoint& vm, mono_time now) const
+{
+    const auto failed = m_unreachable.find({ pool, vm });
+    return failed != m_unreachable.end() && now < failed->second;
+}
+
 std::optional<endpoint> pool_ownership::otherOwner(const pool_id& pool, mono_time now) const
 {
     const endpoint* owner = ownerOf(pool);
-    if (!owner || *owner == m_self)
-        return std::nullopt;
-    const auto failed = m_unreachable.find(pool);
-    if (failed != m_unreachable.end() && now < failed->second)
+    if (!owner || *owner == m_self || setAside(pool, *owner, now))
         return std::nullopt;
     return *owner;
 }
 
+std::optional<endpoint> pool_ownership::otherGatherer(const pool_id& pool, mono_time now) const
+{
+    if (isOwner(pool))
+        return std::nullopt;
+    if (const auto owner = otherOwner(pool, now))
+        return owner;
+    const endpoint* standIn = standInOf(pool);
+    if (!standIn || *standIn == m_self || setAside(pool, *standIn, now))
+        return std::nullopt;
+    return *standIn;
+}
+
+void pool_ownership::asking(const pool_id& pool, const endpoint& vm, mono_time now)
+{
+    const auto failed = m_unreachable.find({ pool, vm });
+    if (failed != m_unreachable.end())
+        failed->second = now + m_options.reachPause;
+}
+
+void pool_ownership::answered(const pool_id& pool, const endpoint& vm) { m_unreachable.erase({ pool, vm }); }
+
+bool pool_ownership::takesWork(const pool_id& pool, mono_time now)
+{
+    if (isOwner(pool))
+        return true;
+    const endpoint* standIn = standInOf(pool);
+    if (!standIn || *standIn != m_self)
+        return false;
+    m_standsInUntil[pool] = now + m_options.standInFor;
+    return true;
+}
+
+bool pool_ownership::gathersFor(const pool_id& pool, mono_time now) const
+{
+    const auto standsIn = m_standsInUntil.find(pool);
+    return isOwner(pool) || (standsIn != m_standsInUntil.end() && now < standsIn->second);
+}
+
 bool pool_ownership::outdated(const pool_id& pool, const std::optional<endpoint>& owner)
 {
     m_askSoon = true;
@@ -128,9 +183,9 @@
     return owner ? std::optional(*owner) : std::nullopt;
 }
 
-void pool_ownership::unreachable(const pool_id& pool, mono_time now)
+void pool_ownership::unreachable(const pool_id& pool, const endpoint& vm, mono_time now)
 {
-    m_unreachable[pool] = now + m_options.reachPause;
+    m_unreachable[{ pool, vm }] = now + m_options.reachPause;
     m_askSoon = true;
 }
 
--- a/balsamspring/gateway/pool_ownership.h
+++ b/balsamspring/gateway/pool_ownership.h
@@ -2,7 +2,8 @@
 // live VMs, and a pool belongs to a partition by its hash.
 //
 // Nothing depends on one VM believing the right thing: two VMs that both gather for a pool only share its servers less
-// well, and a VM that cannot reach the owner calls the servers itself.
+// well. While the owner cannot be reached, the owner of the next partition stands in for it: the log service takes
+// seconds to deal a dead VM's partitions anew. A VM that reaches neither calls the servers itself.
 #pragma once
 
 #include "balsamspring/base/ids.h"
@@ -13,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace balsamspring {
 
@@ -27,6 +29,8 @@
     duration askInterval = std::chrono::seconds(5);
     duration minAskInterval = std::chrono::milliseconds(300); // while no owner is known, or one has failed
     duration reachPause = std::chrono::milliseconds(1000); // how long an owner that failed is not asked again
+    // How long a VM gathers for a pool as a stand-in after the last request to do so.
+    duration standInFor = std::chrono::milliseconds(1500);
 };
 
 struct ownership_hooks {
@@ -44,10 +48,19 @@
     void leave();
 
     bool isOwner(const pool_id& pool) const;
-    // The other VM to ask, or none: this VM is the owner, or no owner is known or can be reached.
+    // The owner, or none: it is this VM, is not known or cannot be reached.
     std::optional<endpoint> otherOwner(const pool_id& pool, mono_time now) const;
-    // The owner did not answer for this pool; what it does for others is not affected.
-    void unreachable(const pool_id& pool, mono_time now);
+    // The VM to send pieces to, the owner or its stand-in, or none: it is this VM, or neither can be reached.
+    std::optional<endpoint> otherGatherer(const pool_id& pool, mono_time now) const;
+    // This VM did not answer for the pool; what it does for others is not affected.
+    void unreachable(const pool_id& pool, const endpoint& vm, mono_time now);
+    // A VM that was set aside is about to be asked: until it answers, it is asked no more often than that.
+    void asking(const pool_id& pool, const endpoint& vm, mono_time now);
+    void answered(const pool_id& pool, const endpoint& vm);
+    // Another VM asks this one to gather. True for the owner and its stand-in, who then does for a while.
+    bool takesWork(const pool_id& pool, mono_time now);
+    // Whether this VM gathers for the pool now, as its owner or as a stand-in.
+    bool gathersFor(const pool_id& pool, mono_time now) const;
     // The VM that was asked is not the owner any more. It may know who is: returns whether that is another VM to ask.
     bool outdated(const pool_id& pool, const std::optional<endpoint>& owner);
     // The owner as far as this VM knows; it may be itself.
@@ -59,13 +72,16 @@
     void askRegularly();
     void readOwners(std::uint64_t generation);
     const endpoint* ownerOf(const pool_id& pool) const;
+    const endpoint* standInOf(const pool_id& pool) const;
+    bool setAside(const pool_id& pool, const endpoint& vm, mono_time now) const;
 
     ownership_options m_options;
     endpoint m_self;
     const record_store& m_store;
     ownership_hooks m_hooks;
     std::map<std::uint32_t, endpoint> m_owners; // by partition
-    std::map<pool_id, mono_time> m_unreachable; // until when its owner is not asked
+    std::map<std::pair<pool_id, endpoint>, mono_time> m_unreachable; // until when the VM is not asked
+    std::map<pool_id, mono_time> m_standsInUntil;
     std::uint64_t m_generation = 0; // that this VM has joined with
     std::uint64_t m_ownersGeneration = 0; // that m_owners belongs to
     mono_time m_askedAt {};
--- a/balsamspring/gateway/relayed_store.cc
+++ b/balsamspring/gateway/relayed_store.cc
@@ -106,6 +106,7 @@
         if (complete && question.status == okStatus) {
             if (auto page = decodePage(question.body)) {
                 metrics.count("relayed_reads", "answered");
+                ownership->answered(pool_id(topic), owner);
                 return reply(std::move(*page));
             }
         }
@@ -115,7 +116,7 @@
         } else {
             logLine(log_level::Warn, "relay_lost",
                 { { "topic", topic }, { "owner", toString(owner) }, { "why", std::string(how) } });
-            ownership->unreachable(pool_id(topic), bootNow());
+            ownership->unreachable(pool_id(topic), owner, bootNow());
         }
         // After a silent answer time has passed in vain: the store is asked for what it has now.
         direct.readFrom(topic, from, complete ? wait : duration::zero(), reply);
