Ask the store at its own pace while no other VM answers

While the relay was gone, or declined because its own view was old, VMs went on at the pace of questions to the relay, five a second, and sent them to the store. A relay without fresh records was also taken for a VM that is not the owner, so that weak VMs asked for the owners three times a second.

Change: the pace follows who answered last. A VM that passes a topic on but knows nothing fresh answers 503, one that does not pass it on 421. After a failure of an owner the owners are asked for once a second at most.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -111,6 +111,7 @@
                     if (followsConfig && !configUnreadable)
                         config.confirm(provenAt);
                     relayed.relay(topic).advanced(next, provenAt, bootNow());
+                    setPaces();
                 },
             .onSnapshot = [this, topic](std::uint64_t next) { relayed.relay(topic).restart(next); },
             .onLost =
@@ -321,6 +322,12 @@
     void ownersChanged()
     {
         router.ownersChanged();
+        setPaces();
+    }
+
+    // Questions to another VM cost little and may be frequent; questions to the store are priced.
+    void setPaces()
+    {
         const bool relaysConfig = relayed.relays(decoders.configTopic);
         configFollower.setPace(relaysConfig ? options.relayConfigWait : options.configWait, duration::zero());
         duration pause = serverPause();
--- a/balsamspring/gateway/gateway_test.cc
+++ b/balsamspring/gateway/gateway_test.cc
@@ -530,5 +530,8 @@
     ownership.unreachable(pool_id("p"), owner, now);
     now += 300ms;
     later();
+    CHECK(questions == 2);
+    now += 700ms;
+    later();
     CHECK(questions == 3);
 }
--- a/balsamspring/gateway/pool_ownership.cc
+++ b/balsamspring/gateway/pool_ownership.cc
@@ -50,8 +50,10 @@
 void pool_ownership::askRegularly()
 {
     const mono_time now = m_hooks.now();
-    const bool soon = m_askSoon || m_owners.empty();
-    if (now - m_askedAt >= (soon ? m_options.minAskInterval : m_options.askInterval)) {
+    const duration interval = m_owners.empty() ? m_options.minAskInterval
+        : m_askSoon                            ? m_options.failedAskInterval
+                                               : m_options.askInterval;
+    if (now - m_askedAt >= interval) {
         m_askedAt = now;
         m_askSoon = false;
         readOwners(m_generation);
--- a/balsamspring/gateway/pool_ownership.h
+++ b/balsamspring/gateway/pool_ownership.h
@@ -27,7 +27,8 @@
     // A VM that does not gather joins no group: it asks who does, seldom while all is well.
     bool gathers = true;
     duration askInterval = std::chrono::seconds(5);
-    duration minAskInterval = std::chrono::milliseconds(300); // while no owner is known, or one has failed
+    duration minAskInterval = std::chrono::milliseconds(300); // while no owner is known
+    duration failedAskInterval = std::chrono::milliseconds(1000); // after an owner has failed: another stands in
     duration reachPause = std::chrono::milliseconds(1000); // how long an owner that failed is not asked again
     // How long a VM gathers for a pool as a stand-in after the last request to do so.
     duration standInFor = std::chrono::milliseconds(1500);
--- a/balsamspring/gateway/relayed_store.cc
+++ b/balsamspring/gateway/relayed_store.cc
@@ -4,13 +4,16 @@
 #include "balsamspring/gateway/page_codec.h"
 #include "balsamspring/gather_schema/gather.pb.h"
 
+#include <set>
+
 namespace balsamspring {
 
 namespace {
 
 constexpr unsigned okStatus = 200;
 constexpr unsigned badRequest = 400;
-constexpr unsigned unavailable = 503;
+constexpr unsigned notOwner = 421; // asked for a topic that this VM does not pass on
+constexpr unsigned unavailable = 503; // passes it on, but knows nothing fresh
 
 http_head answerHead(unsigned status)
 {
@@ -71,8 +74,10 @@
     void read(const std::string& topic, std::uint64_t from, duration wait, record_store::reply<record_page> reply)
     {
         const auto owner = ownership ? ownership->otherOwner(pool_id(topic), bootNow()) : std::nullopt;
-        if (!owner)
+        if (!owner) {
+            relayedTopics.erase(topic);
             return direct.readFrom(topic, from, wait, std::move(reply));
+        }
         auto question = std::make_shared<peer_question>();
         const auto end = [this, question, owner = *owner, topic, from, wait, reply](std::string_view how) {
             finish(*question, owner, topic, from, wait, how, reply);
@@ -107,13 +112,15 @@
             if (auto page = decodePage(question.body)) {
                 metrics.count("relayed_reads", "answered");
                 ownership->answered(pool_id(topic), owner);
+                relayedTopics.insert(topic);
                 return reply(std::move(*page));
             }
         }
+        relayedTopics.erase(topic);
         metrics.count("relayed_reads", complete ? "declined" : how);
-        if (complete) {
+        if (complete && question.status == notOwner) {
             ownership->outdated(pool_id(topic), std::nullopt);
-        } else {
+        } else if (!complete) {
             logLine(log_level::Warn, "relay_lost",
                 { { "topic", topic }, { "owner", toString(owner) }, { "why", std::string(how) } });
             ownership->unreachable(pool_id(topic), owner, bootNow());
@@ -128,6 +135,7 @@
     gateway_metrics& metrics;
     exchange_client peers;
     record_store relayed;
+    std::set<std::string> relayedTopics; // whose last question another VM answered
     std::map<std::string, page_encoder> encoders; // by topic: offsets are those of a topic
     pool_ownership* ownership = nullptr;
     std::map<std::string, topic_relay> relays;
@@ -155,10 +163,7 @@
     return m_state->ownership && m_state->ownership->isOwner(pool_id(topic));
 }
 
-bool relayed_store::isRelayed(const std::string& topic) const
-{
-    return m_state->ownership && m_state->ownership->otherOwner(pool_id(topic), bootNow());
-}
+bool relayed_store::isRelayed(const std::string& topic) const { return m_state->relayedTopics.contains(topic); }
 
 void relayed_store::handle(const incoming_request& request, const std::shared_ptr<response_writer>& writer)
 {
@@ -167,7 +172,7 @@
         return writer->send(answerHead(badRequest), {});
     const auto found = m_state->relays.find(decoded.topic());
     if (found == m_state->relays.end() || !relays(decoded.topic()))
-        return writer->send(answerHead(unavailable), {});
+        return writer->send(answerHead(notOwner), {});
     topic_relay& source = found->second;
     const auto id = source.ask(decoded.from_offset(), request.received,
         [writer, &encoder = m_state->encoders[decoded.topic()]](const std::optional<record_page>& page) {
--- a/balsamspring/gateway/relayed_store.h
+++ b/balsamspring/gateway/relayed_store.h
@@ -38,7 +38,7 @@
     topic_relay& relay(const std::string& topic);
     // Whether other VMs ask this one, which then asks the store more often.
     bool relays(const std::string& topic) const;
-    // Whether another VM answers this one's questions.
+    // Whether another VM answered this one's last question; otherwise the store did, whose calls are dear.
     bool isRelayed(const std::string& topic) const;
     // Answers another VM.
     void handle(const incoming_request& request, const std::shared_ptr<response_writer>& writer);
