Reject late pieces without a chance before their deadline

Cause: after a burst the queue of a stage held more late work than its pool could do. Its requests waited until their deadline and were rejected then; room at the stage before stayed taken.

Test: ten late calls and one in time at a server that can do five before the deadline: exactly the six others are rejected.

--- a/balsamspring/gateway/piece_queue.cc
+++ b/balsamspring/gateway/piece_queue.cc
@@ -57,6 +57,35 @@
     return expired;
 }
 
+std::vector<piece_ticket> piece_queue::takeHopeless(server_list servers, mono_time now)
+{
+    const double rate = fullRate(servers, now);
+    if (rate <= 0)
+        return {};
+    std::vector<std::list<piece_group>::iterator> late;
+    double ahead = 0;
+    for (auto group = m_groups.begin(); group != m_groups.end(); ++group) {
+        if (hasTimeInHand(*group, now))
+            ahead += group->count;
+        else
+            late.push_back(group);
+    }
+    std::stable_sort(
+        late.begin(), late.end(), [this](const auto& a, const auto& b) { return urgency(*a) < urgency(*b); });
+    std::vector<piece_ticket> hopeless;
+    for (const auto& group : late) {
+        const duration call = expectedTime(std::min(group->count, m_spec.batch));
+        if (now + fromSeconds(ahead / rate) + call <= group->deadline) {
+            ahead += group->count;
+            continue;
+        }
+        hopeless.push_back(group->ticket);
+        m_waiting -= group->count;
+        m_groups.erase(group);
+    }
+    return hopeless;
+}
+
 std::optional<piece_queue::call> piece_queue::next(server_list servers, mono_time now)
 {
     if (m_groups.empty() || (m_callLimit > 0 && m_inProgress >= m_callLimit))
@@ -214,15 +243,23 @@
         m_servers.erase(found);
 }
 
-duration piece_queue::predictedDelay(unsigned pieces, server_list servers, mono_time wanted, mono_time now) const
+// Pieces a second of the whole pool in full calls.
+double piece_queue::fullRate(server_list servers, mono_time now) const
 {
-    double rate = 0; // pieces a second of the whole pool in full calls
+    double rate = 0;
     const double fullCall = toSeconds(expectedTime(m_spec.batch));
     for (const server_entry* server : servers) {
         const auto found = m_servers.find(server->id);
         const double slowness = found == m_servers.end() ? 1 : factor(found->second, now);
         rate += m_spec.slots * m_spec.batch / (fullCall * slowness);
     }
+    return rate;
+}
+
+duration piece_queue::predictedDelay(unsigned pieces, server_list servers, mono_time wanted, mono_time now) const
+{
+    const double rate = fullRate(servers, now);
+    const double fullCall = toSeconds(expectedTime(m_spec.batch));
     if (rate <= 0)
         return expectedTime(std::min(pieces, m_spec.batch));
     double ahead = 0;
--- a/balsamspring/gateway/piece_queue.h
+++ b/balsamspring/gateway/piece_queue.h
@@ -76,6 +76,9 @@
     void cancel(piece_ticket ticket);
     // Groups that can no longer be done in time; they leave the queue.
     std::vector<piece_ticket> takeExpired(mono_time now);
+    // Late groups whose turn comes after their deadline although nothing new arrives; they leave the queue, so that
+    // their requests are rejected now instead of at the deadline. Sorts the queue.
+    std::vector<piece_ticket> takeHopeless(server_list servers, mono_time now);
 
     // The next call to send now, if a server is free and work waits. The caller then sends it.
     std::optional<call> next(server_list servers, mono_time now);
@@ -110,6 +113,7 @@
     };
 
     double factor(const server_state& server, mono_time now) const;
+    double fullRate(server_list servers, mono_time now) const;
     std::vector<const server_entry*> freeServers(server_list servers, mono_time now) const;
     void fill(call& filled, const server_entry& server, const std::set<zone_id>& zones, mono_time now);
     bool mayRunIn(const piece_group& group, const zone_id& zone, const std::set<zone_id>& zones, mono_time now) const;
--- a/balsamspring/gateway/piece_queue_test.cc
+++ b/balsamspring/gateway/piece_queue_test.cc
@@ -295,6 +295,28 @@
     CHECK(queue.waitingPieces() == 0);
 }
 
+TEST_CASE("late pieces whose turn would come too late are rejected before their deadline")
+{
+    // Load pattern: a burst has passed and left more late work than the pool can do before its deadlines. Requests were
+    // held for seconds, room for their results with them, and then rejected.
+    piece_queue queue(deskSpec(), {});
+    const auto servers = makeServers(1);
+    const auto list = pointers(servers);
+    for (piece_ticket ticket = 1; ticket <= 10; ++ticket) {
+        // Each fills a call of 279 ms.
+        piece_group group = makeGroup(ticket, 28, start + 10ms * ticket, start + 5s);
+        REQUIRE(queue.add(group, list, start));
+    }
+    const piece_group inTime = makeGroup(11, 28, start + 4s, start + 5s);
+    REQUIRE(queue.add(inTime, list, start));
+    CHECK(queue.takeHopeless(list, start).empty());
+    // 1.6 s before the deadline five calls are left, one of them for the request that is still in time.
+    const auto hopeless = queue.takeHopeless(list, start + 3400ms);
+    CHECK(hopeless == std::vector<piece_ticket> { 5, 6, 7, 8, 9, 10 });
+    CHECK(queue.waitingPieces() == 5 * 28);
+    CHECK(queue.takeExpired(start + 3400ms).empty());
+}
+
 TEST_CASE("calls hold only results that their server has room for")
 {
     piece_spec spec = deskSpec();
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -148,7 +148,12 @@
             if (found == pools.end())
                 return;
             found->second.expiryTimer = 0;
-            found->second.dropExpired(bootNow());
+            const mono_time now = bootNow();
+            found->second.dropExpired(now);
+            for (const piece_ticket ticket : found->second.queue.takeHopeless(parts.servers.usable(id), now)) {
+                parts.loop.post(
+                    [this, ticket] { fail(ticket, error_code::Refused, "no capacity before the deadline"); });
+            }
             pump(id);
         });
     }
