--- a/soak/soak_run.cc
+++ b/soak/soak_run.cc
@@ -18,7 +18,7 @@
 using namespace std::chrono_literals;
 using namespace platform;
 
-constexpr duration requestInterval = 12ms; // on average
+constexpr duration requestInterval = 8ms; // on average
 constexpr duration faultInterval = 350ms; // on average, so that faults overlap
 constexpr duration longestFault = 2500ms;
 constexpr duration keyLimit = 5s; // after which a key that was taken away must run nowhere; `revoke_ms` of the settings
@@ -26,6 +26,7 @@
 constexpr duration bindTime = 200ms; // in which a program that cannot bind its ports has ended
 constexpr duration startTime = 1s; // until a restarted gateway listens
 constexpr duration settleTime = 10s; // after the last fault
+constexpr duration serviceTime = 100ms; // on average: breaks must meet requests that run
 constexpr double leavingShare = 0.05; // of callers close before their answer
 constexpr int streamEvents = 6;
 constexpr duration eventInterval = 25ms;
@@ -200,7 +201,7 @@
         if (sent.kind == request_kind::Unsafe && sent.runs > 1)
             finding(fmt::format("{} must run once and ran {} times", *id, sent.runs));
         if (sent.kind != request_kind::Stream) {
-            m_loop.after(drawn(15ms),
+            m_loop.after(drawn(serviceTime),
                 [request, writer, body = "answer to " + *id] { writer->send(signedHead(200, request), body); });
             return;
         }
