--- a/balsamspring/gateway/gateway.h
+++ b/balsamspring/gateway/gateway.h
@@ -43,6 +43,7 @@
     std::string configTopic;
     std::string configKey;
     std::string serverTopic;
+    std::string suspectTopic; // our own, of which the store keeps the newest record of each key
     std::function<result<serving_config_data>(const std::string& value)> config;
     std::function<result<server_entry>(const std::string& key, const std::string& value)> server;
 };
@@ -72,7 +73,8 @@
 
 class gateway {
 public:
-    // The loop, the adapter, the decoders and the store must outlive the gateway.
+    // The loop, the adapter, the decoders and the store must outlive the gateway. Destroy it only after the loop has
+    // ended: its timers refer to it.
     gateway(event_loop& loop, gateway_settings settings, const wire_adapter& adapter, const record_decoders& decoders,
         const record_store& store, std::uint64_t seed, gateway_options options = {});
     ~gateway();
