Let the VM that another one names gather, and write peer messages once

Besides, heads of answers were built in three places and requests to other VMs in two.

Change: a redirected request says so; a VM whose link is strong enough then gathers for a while, as a stand-in does. peer_messages builds heads and requests.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -1,10 +1,11 @@
 #include "balsamspring/gateway/gateway.h"
 
+#include "balsamspring/gateway/peer_messages.h"
 #include "balsamspring/gateway/piece_gatherer.h"
 #include "balsamspring/gateway/relayed_store.h"
+#include "balsamspring/gateway/suspect_sharing.h"
 #include "balsamspring/gateway/topic_follower.h"
 
-#include <charconv>
 #include <set>
 
 #include <fmt/core.h>
@@ -13,29 +14,6 @@
 
 namespace {
 
-constexpr std::string_view suspectTopic = "keyed.balsamspring-suspects";
-constexpr std::string_view quarantinedValue = "quarantined";
-constexpr std::string_view suspectValue = "suspect";
-std::string fingerprintText(fingerprint content) { return fmt::format("{:016x}", content.value()); }
-
-std::optional<fingerprint> parseFingerprint(const std::string& text)
-{
-    std::uint64_t value = 0;
-    constexpr int hexadecimal = 16;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value, hexadecimal);
-    if (failure != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return fingerprint(value);
-}
-
-http_head plainHead(unsigned status)
-{
-    http_head head;
-    head.status = status;
-    head.reason = status == 200 ? "OK" : "Unavailable";
-    return head;
-}
-
 config_state_options configOptions(const gateway_settings& settings, const gateway_options& options)
 {
     return { .keyTrust = settings.revocationLimit - options.revocationMargin,
@@ -67,6 +45,7 @@
         , balancer({}, settings.zone, random)
         , repeats(budgetOptions(settings))
         , quarantine({})
+        , suspects(decoders.suspectTopic, store, quarantine, metrics)
         , backends(loop, {})
         , pieces({}, { loop, wire, servers, repeats, backends, metrics })
         , router({}, loop, pieces, metrics)
@@ -84,8 +63,8 @@
               relayed.store(), followerHooks("servers", [this](const store_record& item) { serverRecord(item); }),
               random)
         , suspectFollower(
-              { .topic = std::string(suspectTopic), .wait = options.suspectWait, .pause = options.suspectPause }, store,
-              followerHooks("suspects", [this](const store_record& item) { suspectRecord(item); }), random)
+              { .topic = decoders.suspectTopic, .wait = options.suspectWait, .pause = options.suspectPause }, store,
+              followerHooks("suspects", [this](const store_record& item) { suspects.learn(item, bootNow()); }), random)
     {
     }
 
@@ -97,7 +76,7 @@
         const bool followsConfig = name == "config";
         const std::string topic = followsServers ? decoders.serverTopic
             : followsConfig                      ? decoders.configTopic
-                                                 : std::string(suspectTopic);
+                                                 : suspects.topic();
         return { .now = bootNow,
             .after = [this](duration delay, std::function<void()> action) { loop.after(delay, std::move(action)); },
             .onRecord = std::move(onRecord),
@@ -173,16 +152,6 @@
         servers.remove(backend_id(record.key), now);
     }
 
-    void suspectRecord(const store_record& record)
-    {
-        const auto content = parseFingerprint(record.key);
-        if (!content || !record.value)
-            return;
-        const auto standing
-            = *record.value == quarantinedValue ? content_standing::Quarantined : content_standing::Suspect;
-        quarantine.learn({ *content, standing }, bootNow());
-    }
-
     void serverChanged(const server_entry& server, server_change change)
     {
         metrics.count("server_changes", toString(change));
@@ -212,7 +181,7 @@
                 quarantine.connectRefused(id, bootNow());
             if (const auto open = weak.lock())
                 open->abort();
-            publishSuspects();
+            suspects.publish();
         };
         probe->setHandlers({ .onConnected = [end] { end(false); },
             .onData = nullptr,
@@ -220,24 +189,6 @@
             .onWritten = nullptr });
     }
 
-    void publishSuspects()
-    {
-        for (const auto& update : quarantine.takeUpdates()) {
-            if (update.standing == content_standing::Clear)
-                continue;
-            const bool quarantined = update.standing == content_standing::Quarantined;
-            const std::string key = fingerprintText(update.content);
-            const std::string value(quarantined ? quarantinedValue : suspectValue);
-            metrics.count("suspects", value);
-            logLine(log_level::Warn, "content_suspected", { { "content", key }, { "standing", value } });
-            store.append(std::string(suspectTopic), key, value, [key](const result<std::uint64_t>& done) {
-                if (!done)
-                    logLine(log_level::Warn, "suspect_not_published",
-                        { { "content", key }, { "why", done.error().message } });
-            });
-        }
-    }
-
     http_service_limits callerLimits() const
     {
         const auto present = config.current();
@@ -347,8 +298,8 @@
                 .handler =
                     [this](const incoming_request& request, const std::shared_ptr<response_writer>& writer) {
                         if (request.head.target == "/metrics")
-                            return writer->send(plainHead(200), metricsText());
-                        writer->send(plainHead(ready() ? 200 : 503), {});
+                            return writer->send(peerHead(200), metricsText());
+                        writer->send(peerHead(ready() ? 200 : 503), {});
                     },
                 .onRejected = nullptr });
         if (!opened)
@@ -385,7 +336,7 @@
     void sessionDone(request_session& session)
     {
         sessions.erase(session.shared_from_this());
-        publishSuspects();
+        suspects.publish();
         if (refusing)
             loop.post([this] { stopIfIdle(); });
     }
@@ -463,6 +414,7 @@
     server_balancer balancer;
     repeat_budget repeats;
     crash_quarantine quarantine;
+    suspect_sharing suspects;
     exchange_client backends;
     piece_service pieces;
     piece_router router;
--- a/balsamspring/gateway/piece_gatherer.cc
+++ b/balsamspring/gateway/piece_gatherer.cc
@@ -1,25 +1,15 @@
 #include "balsamspring/gateway/piece_gatherer.h"
 
+#include "balsamspring/gateway/peer_messages.h"
 #include "balsamspring/gather_schema/gather.pb.h"
 
 namespace balsamspring {
 
 namespace {
 
-constexpr unsigned okStatus = 200;
-constexpr unsigned badRequest = 400;
-constexpr unsigned unavailable = 503;
 // Each sign of life is one byte before the reply.
 constexpr char progressByte = ' ';
 
-http_head answerHead(unsigned status)
-{
-    http_head head;
-    head.status = status;
-    head.reason = status == okStatus ? "OK" : "Declined";
-    return head;
-}
-
 void addResults(
     google::protobuf::RepeatedPtrField<schema::gathered_result>& list, const std::vector<piece_result>& results)
 {
@@ -71,7 +61,7 @@
 
 } // namespace
 
-std::string encodeGatherRequest(const piece_work& work, mono_time now)
+std::string encodeGatherRequest(const piece_work& work, bool redirected, mono_time now)
 {
     schema::gather_request request;
     request.set_pool(work.pool.value());
@@ -86,6 +76,7 @@
     request.set_margin_us(work.margin.count());
     request.set_deadline_in_us((work.deadline - now).count());
     request.set_priority(work.priority);
+    request.set_redirected(redirected);
     request.set_input_zone(work.inputZone.value());
     return request.SerializeAsString();
 }
@@ -125,21 +116,21 @@
         return gather(request, writer);
     if (request.head.target == releasePath)
         return release(request, writer);
-    writer->send(answerHead(badRequest), {});
+    writer->send(peerHead(peerBadRequest), {});
 }
 
 void piece_gatherer::gather(const incoming_request& request, const std::shared_ptr<response_writer>& writer)
 {
     schema::gather_request decoded;
     if (!decoded.ParseFromString(request.body) || decoded.count() == 0)
-        return writer->send(answerHead(badRequest), {});
+        return writer->send(peerHead(peerBadRequest), {});
     const auto config = m_config.current();
     const pool_spec* pool = config ? config->pool(pool_id(decoded.pool())) : nullptr;
     if (!pool || !pool->pieces || !m_ownership)
-        return writer->send(answerHead(unavailable), {});
-    if (!m_ownership->takesWork(pool->id, request.received)) {
+        return writer->send(peerHead(peerUnavailable), {});
+    if (!m_ownership->takesWork(pool->id, decoded.redirected(), request.received)) {
         const auto owner = m_ownership->knownOwner(pool->id);
-        return writer->send(answerHead(unavailable), owner ? toString(*owner) : std::string());
+        return writer->send(peerHead(peerUnavailable), owner ? toString(*owner) : std::string());
     }
     piece_work work;
     work.pool = pool->id;
@@ -160,7 +151,7 @@
         m_pieces.limitCalls(pool->id, 0);
     auto gathered = std::make_shared<gathered_work>();
     gathered->writer = writer;
-    writer->begin(answerHead(okStatus));
+    writer->begin(peerHead(peerOk));
     gathered->ticket = m_pieces.submit(
         *pool->pieces, std::move(work), [this, gathered](const result<std::vector<piece_result>>& outcome) {
             gathered->ended = true;
@@ -180,9 +171,9 @@
 {
     schema::release_request decoded;
     if (!decoded.ParseFromString(request.body))
-        return writer->send(answerHead(badRequest), {});
+        return writer->send(peerHead(peerBadRequest), {});
     m_pieces.release(pool_id(decoded.pool()), readResults(decoded.results()));
-    writer->send(answerHead(okStatus), {});
+    writer->send(peerHead(peerOk), {});
 }
 
 } // namespace balsamspring
--- a/balsamspring/gateway/piece_gatherer.h
+++ b/balsamspring/gateway/piece_gatherer.h
@@ -20,7 +20,8 @@
     result<std::vector<piece_result>> outcome;
 };
 
-std::string encodeGatherRequest(const piece_work& work, mono_time now);
+// `redirected`: the owner could not be reached, or the VM that was asked first named the receiver.
+std::string encodeGatherRequest(const piece_work& work, bool redirected, mono_time now);
 gather_answer decodeGatherReply(const std::string& bytes);
 std::string encodeRelease(const pool_id& pool, const std::vector<piece_result>& results);
 
--- a/balsamspring/gateway/piece_router.cc
+++ b/balsamspring/gateway/piece_router.cc
@@ -1,6 +1,7 @@
 #include "balsamspring/gateway/piece_router.h"
 
 #include "balsamspring/base/log.h"
+#include "balsamspring/gateway/peer_messages.h"
 #include "balsamspring/gateway/piece_gatherer.h"
 #include "balsamspring/net/http_exchange.h"
 
@@ -10,8 +11,6 @@
 
 namespace {
 
-constexpr unsigned okStatus = 200;
-
 struct routed_work {
     piece_spec spec;
     piece_work work;
@@ -25,15 +24,6 @@
     bool redirected = false; // to the owner that another VM named
 };
 
-std::string post(const endpoint& peer, std::string_view path, const std::string& body)
-{
-    http_head head;
-    head.method = "POST";
-    head.target = path;
-    head.fields = { { "Host", toString(peer) }, { "Content-Length", std::to_string(body.size()) } };
-    return formatHead(head) + body;
-}
-
 exchange_client_options peerOptions(const piece_router_options& options)
 {
     exchange_client_options peers;
@@ -84,7 +74,7 @@
         routed.owner = owner;
         ownership->asking(routed.work.pool, owner, bootNow());
         exchange_request request;
-        request.bytes = post(owner, gatherPath, encodeGatherRequest(routed.work, bootNow()));
+        request.bytes = peerRequest(owner, gatherPath, encodeGatherRequest(routed.work, routed.redirected, bootNow()));
         request.maxIdle = options.idleReuse;
         routed.silenceTimer = loop.after(options.silenceLimit, [this, ticket] { fallBack(ticket, "silent"); });
         auto exchange = peers.start(owner, std::move(request),
@@ -129,7 +119,7 @@
         found->second.exchange = nullptr;
         if (end != exchange_end::Complete)
             return fallBack(ticket, toString(end));
-        if (found->second.status != okStatus)
+        if (found->second.status != peerOk)
             return declined(ticket);
         gather_answer answer = decodeGatherReply(found->second.body);
         if (!answer.readable)
@@ -239,7 +229,7 @@
                 continue;
             }
             exchange_request request;
-            request.bytes = post(*owner, releasePath, encodeRelease(pool, results));
+            request.bytes = peerRequest(*owner, releasePath, encodeRelease(pool, results));
             request.maxIdle = options.idleReuse;
             peers.start(*owner, std::move(request),
                 { .onHead = nullptr,
--- a/balsamspring/gateway/pool_ownership.cc
+++ b/balsamspring/gateway/pool_ownership.cc
@@ -152,12 +152,13 @@
 
 void pool_ownership::answered(const pool_id& pool, const endpoint& vm) { m_unreachable.erase({ pool, vm }); }
 
-bool pool_ownership::takesWork(const pool_id& pool, mono_time now)
+bool pool_ownership::takesWork(const pool_id& pool, bool redirected, mono_time now)
 {
     if (isOwner(pool))
         return true;
     const endpoint* standIn = standInOf(pool);
-    if (!standIn || *standIn != m_self)
+    const bool named = redirected && m_options.gathers && !m_left;
+    if (!named && (!standIn || *standIn != m_self))
         return false;
     m_standsInUntil[pool] = now + m_options.standInFor;
     return true;
--- a/balsamspring/gateway/pool_ownership.h
+++ b/balsamspring/gateway/pool_ownership.h
@@ -58,8 +58,10 @@
     // A VM that was set aside is about to be asked: until it answers, it is asked no more often than that.
     void asking(const pool_id& pool, const endpoint& vm, mono_time now);
     void answered(const pool_id& pool, const endpoint& vm);
-    // Another VM asks this one to gather. True for the owner and its stand-in, who then does for a while.
-    bool takesWork(const pool_id& pool, mono_time now);
+    // Another VM asks this one to gather. True for the owner, and for a stand-in, which then does for a while: the
+    // owner of the next partition, or a VM to which the request was redirected. Two VMs that have read the owners at
+    // different times would otherwise name each other.
+    bool takesWork(const pool_id& pool, bool redirected, mono_time now);
     // Whether this VM gathers for the pool now, as its owner or as a stand-in.
     bool gathersFor(const pool_id& pool, mono_time now) const;
     // The VM that was asked is not the owner any more. It may know who is: returns whether that is another VM to ask.
--- a/balsamspring/gateway/relayed_store.cc
+++ b/balsamspring/gateway/relayed_store.cc
@@ -2,6 +2,7 @@
 
 #include "balsamspring/base/log.h"
 #include "balsamspring/gateway/page_codec.h"
+#include "balsamspring/gateway/peer_messages.h"
 #include "balsamspring/gather_schema/gather.pb.h"
 
 #include <set>
@@ -10,31 +11,13 @@
 
 namespace {
 
-constexpr unsigned okStatus = 200;
-constexpr unsigned badRequest = 400;
-constexpr unsigned notOwner = 421; // asked for a topic that this VM does not pass on
-constexpr unsigned unavailable = 503; // passes it on, but knows nothing fresh
-
-http_head answerHead(unsigned status)
-{
-    http_head head;
-    head.status = status;
-    head.reason = status == okStatus ? "OK" : "Declined";
-    return head;
-}
-
 std::string encodeQuestion(const endpoint& peer, const std::string& topic, std::uint64_t from, duration wait)
 {
     schema::follow_request request;
     request.set_topic(topic);
     request.set_from_offset(from);
     request.set_wait_us(wait.count());
-    const std::string body = request.SerializeAsString();
-    http_head head;
-    head.method = "POST";
-    head.target = followPath;
-    head.fields = { { "Host", toString(peer) }, { "Content-Length", std::to_string(body.size()) } };
-    return formatHead(head) + body;
+    return peerRequest(peer, followPath, request.SerializeAsString());
 }
 
 exchange_client_options clientOptions(const relayed_store_options& options)
@@ -108,7 +91,7 @@
             question.exchange->cancel();
         question.exchange = nullptr;
         const bool complete = how == toString(exchange_end::Complete);
-        if (complete && question.status == okStatus) {
+        if (complete && question.status == peerOk) {
             if (auto page = decodePage(question.body)) {
                 metrics.count("relayed_reads", "answered");
                 ownership->answered(pool_id(topic), owner);
@@ -118,7 +101,7 @@
         }
         relayedTopics.erase(topic);
         metrics.count("relayed_reads", complete ? "declined" : how);
-        if (complete && question.status == notOwner) {
+        if (complete && question.status == peerNotOwner) {
             ownership->outdated(pool_id(topic), std::nullopt);
         } else if (!complete) {
             logLine(log_level::Warn, "relay_lost",
@@ -169,17 +152,17 @@
 {
     schema::follow_request decoded;
     if (!decoded.ParseFromString(request.body))
-        return writer->send(answerHead(badRequest), {});
+        return writer->send(peerHead(peerBadRequest), {});
     const auto found = m_state->relays.find(decoded.topic());
     if (found == m_state->relays.end() || !relays(decoded.topic()))
-        return writer->send(answerHead(notOwner), {});
+        return writer->send(peerHead(peerNotOwner), {});
     topic_relay& source = found->second;
     const auto id = source.ask(decoded.from_offset(), request.received,
         [writer, &encoder = m_state->encoders[decoded.topic()]](const std::optional<record_page>& page) {
             if (page)
-                writer->send(answerHead(okStatus), encoder.encode(*page));
+                writer->send(peerHead(peerOk), encoder.encode(*page));
             else
-                writer->send(answerHead(unavailable), {});
+                writer->send(peerHead(peerUnavailable), {});
         });
     if (!id)
         return;
