Ask the engine about a silent stream instead of cutting it, and make inputs again for a continuation

Cause: a stream that sent nothing for 0.6 s (1.8 s before its first event) was cut and continued on another engine. An engine that reads long prompts is silent for longer and goes on. Bytes without a whole event counted as progress, so that a stream that trickles was never ended.

Change: stream_watch decides from the engine's own report, which lists its runs: a stream is replaced when its server does not answer twice, no longer holds the run, has not begun it, or makes events that do not arrive. It is kept otherwise, also when no replacement could succeed. A continuation runs the stages again, within the retry budget and only if the time suffices; an engine that misses inputs leads to the same. Bytes count as progress only by volume. Keeping the inputs until the end of each stream was weighed: it occupies result storage, which binds on this deployment, for every stream, while few continue. Retries no longer tell the caller that a request has not run when an earlier attempt may have (keys that became unconfirmed between two attempts). Handlers of signals are installed before the sockets open, and a reload that arrives before is ignored.

--- a/apps/balsamspring-gateway.cc
+++ b/apps/balsamspring-gateway.cc
@@ -84,6 +84,10 @@
     const record_decoders decoders = platform::recordDecoders();
     std::random_device device;
     gateway vmGateway(loop, *settings, adapter, decoders, store, device());
+    // Installed before the sockets are open, so that no signal ends the process while it accepts requests.
+    loop.onSignal(SIGTERM, [&] { vmGateway.stop([&loop] { loop.stop(); }); });
+    loop.onSignal(SIGINT, [&] { vmGateway.stop([&loop] { loop.stop(); }); });
+    loop.onSignal(SIGHUP, [&] { validateSettings(path, metricsPort); });
     const auto started = vmGateway.start();
     if (!started) {
         logLine(log_level::Error, "start_failed", { { "why", started.error().message } });
@@ -91,9 +95,6 @@
         setLogWriter(nullptr);
         return 1;
     }
-    loop.onSignal(SIGTERM, [&] { vmGateway.stop([&loop] { loop.stop(); }); });
-    loop.onSignal(SIGINT, [&] { vmGateway.stop([&loop] { loop.stop(); }); });
-    loop.onSignal(SIGHUP, [&] { validateSettings(path, metricsPort); });
     flushPeriodically(loop, buffer);
     loop.run();
     buffer.flush();
@@ -103,6 +104,12 @@
 
 } // namespace
 
+// The settings are read after this, so a reload that arrives earlier has nothing to do. Runs before the constructors of
+// the libraries, which take most of the time of a start.
+static void ignoreEarlyReload() { signal(SIGHUP, SIG_IGN); }
+
+__attribute__((section(".preinit_array"), used)) static void (*const earlyStart)() = ignoreEarlyReload;
+
 int main(int argc, char** argv)
 {
     signal(SIGPIPE, SIG_IGN);
--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -48,11 +48,12 @@
         , quarantine({})
         , suspects(decoders.suspectTopic, store, quarantine, metrics)
         , backends(loop, {})
+        , reports({}, loop, wire, backends, metrics)
         , pieces({}, { loop, wire, servers, retryBudget, backends, metrics })
         , router({}, loop, pieces, metrics)
         , gatherer({}, loop, pieces, config, sharedOwnership)
-        , context { loop, wire, settings.zone, config, servers, balancer, retryBudget, quarantine, backends, router,
-            metrics, random,
+        , context { loop, wire, settings.zone, config, servers, balancer, retryBudget, quarantine, backends, reports,
+            router, metrics, random,
             [this](const server_entry& server) {
                 checkAlive(server);
             } }
@@ -419,6 +420,7 @@
     crash_quarantine quarantine;
     suspect_sharing suspects;
     exchange_client backends;
+    server_reports reports;
     piece_service pieces;
     piece_router router;
     pool_ownership* sharedOwnership = nullptr; // Points to `ownership`.
--- a/balsamspring/gateway/gateway_context.h
+++ b/balsamspring/gateway/gateway_context.h
@@ -10,6 +10,7 @@
 #include "balsamspring/gateway/repeat_budget.h"
 #include "balsamspring/gateway/server_balancer.h"
 #include "balsamspring/gateway/server_registry.h"
+#include "balsamspring/gateway/server_reports.h"
 #include "balsamspring/gateway/wire_adapter.h"
 #include "balsamspring/net/event_loop.h"
 #include "balsamspring/net/http_exchange.h"
@@ -30,6 +31,7 @@
     retry_budget& retryBudget;
     crash_quarantine& quarantine;
     exchange_client& backendClient;
+    server_reports& reports;
     piece_router& pieces;
     gateway_metrics& metrics;
     random_engine& random;
--- a/balsamspring/gateway/piece_gatherer.cc
+++ b/balsamspring/gateway/piece_gatherer.cc
@@ -78,6 +78,7 @@
     request.set_priority(work.priority);
     request.set_redirected(redirected);
     request.set_input_zone(work.inputZone.value());
+    request.set_repeated_work(work.repeated);
     return request.SerializeAsString();
 }
 
@@ -145,6 +146,7 @@
     work.deadline = request.receivedAt + duration(decoded.deadline_in_us());
     work.priority = decoded.priority();
     work.inputZone = zone_id(decoded.input_zone());
+    work.repeated = decoded.repeated_work();
 
     // Until now a backup called the servers only as a fallback, one call at a time. Gathering has no such limit.
     if (!m_ownership->isOwner(pool->id))
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -451,7 +451,9 @@
     const pool_id id = work.pool;
     const mono_time now = bootNow();
     auto& target = m_state->pool(id, spec);
-    m_state->parts.retryBudget.requestArrived(id, now);
+    const bool affordable = !work.repeated || m_state->parts.retryBudget.trySpend(id, work.count, now);
+    if (!work.repeated)
+        m_state->parts.retryBudget.requestArrived(id, now);
     active_work active;
     active.results.resize(work.count);
     active.attempts.resize(work.count);
@@ -461,6 +463,12 @@
     active.callback = std::move(callback);
     const unsigned count = active.work.count;
     const auto added = m_state->workByTicket.emplace(ticket, std::move(active)).first;
+    if (!affordable) {
+        m_state->parts.loop.post([state = m_state.get(), ticket] {
+            state->fail(ticket, error_code::Unavailable, "no retry is allowed to make the pieces again");
+        });
+        return ticket;
+    }
     if (!target.queue.add(m_state->groupOf(ticket, added->second, count), m_state->parts.servers.usable(id), now)) {
         m_state->parts.loop.post([state = m_state.get(), ticket] {
             state->fail(ticket, error_code::Refused, "no capacity before the deadline");
--- a/balsamspring/gateway/piece_service.h
+++ b/balsamspring/gateway/piece_service.h
@@ -32,6 +32,7 @@
     duration requiredSlack {};
     mono_time deadline {};
     unsigned priority = 0;
+    bool repeated = false; // the pieces were made before, so that these calls use the retry budget
 };
 
 // A result that a server stores.
--- a/balsamspring/gateway/repeat_budget.cc
+++ b/balsamspring/gateway/repeat_budget.cc
@@ -16,11 +16,12 @@
     usage.requests.push_back(now);
 }
 
-bool retry_budget::trySpend(const pool_id& pool, mono_time now)
+bool retry_budget::trySpend(const pool_id& pool, unsigned count, mono_time now)
 {
-    if (remaining(pool, now) < 1)
+    if (remaining(pool, now) < count)
         return false;
-    m_usage[pool].retries.push_back(now);
+    auto& retries = m_usage[pool].retries;
+    retries.insert(retries.end(), count, now);
     return true;
 }
 
--- a/balsamspring/gateway/repeat_budget.h
+++ b/balsamspring/gateway/repeat_budget.h
@@ -34,7 +34,9 @@
 
     void requestArrived(const pool_id& pool, mono_time now);
     // Spends one retry. Returns false if the budget is exhausted.
-    bool trySpend(const pool_id& pool, mono_time now);
+    bool trySpend(const pool_id& pool, mono_time now) { return trySpend(pool, 1, now); }
+    // Spends `count` retries, or none and returns false if fewer are available.
+    bool trySpend(const pool_id& pool, unsigned count, mono_time now);
     // Number of retries that are available now. A retry needs at least 1.
     double remaining(const pool_id& pool, mono_time now);
 
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -3,6 +3,7 @@
 #include "balsamspring/base/hash.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <fmt/core.h>
 
@@ -27,6 +28,16 @@
 
 std::string milliseconds(duration value) { return fmt::format("{:.0f}", toSeconds(value) * 1000); }
 
+// The ids of events count from 1. 0 for other ids.
+std::uint64_t eventNumber(const std::optional<std::string>& id)
+{
+    std::uint64_t number = 0;
+    if (!id)
+        return 0;
+    const auto [end, failure] = std::from_chars(id->data(), id->data() + id->size(), number);
+    return failure == std::errc() && end == id->data() + id->size() ? number : 0;
+}
+
 std::uint64_t nextAttempt()
 {
     static std::uint64_t last = 0;
@@ -42,6 +53,7 @@
     , m_incoming(std::move(request))
     , m_writer(std::move(writer))
     , m_onDone(std::move(onDone))
+    , m_watch(options.streamWatch)
 {
 }
 
@@ -51,6 +63,7 @@
     if (!decoded)
         return refuse(statusBadRequest, decoded.error().message);
     m_request = std::move(*decoded);
+    m_deliveredEvents = eventNumber(m_request.lastEventId);
     if (!admit())
         return;
     m_writer->onDisconnect([self = shared_from_this()] { self->callerDisconnected(); });
@@ -67,7 +80,7 @@
         return;
     const server_entry* server = chooseServer();
     if (!server)
-        return m_mayHaveRun ? failAfterSend("no_other_server") : refuseNotRun("no_server");
+        return m_mayHaveRun ? failAfterSend("no_other_server") : giveUp("no_server");
     const mono_time now = bootNow();
     m_server = *server;
     m_tried.insert(server->id);
@@ -76,6 +89,7 @@
     m_response = {};
     m_splitter = {};
     m_events.beginServerStream();
+    m_serverBegan = false;
     m_attempt = attempt_id(nextAttempt());
     m_context.quarantine.started(m_attempt, m_content, server->id, now);
     m_context.balancer.started(server->id);
@@ -100,9 +114,10 @@
                 [self = shared_from_this()](exchange_outcome end) {
                     self->callEnded(end);
                 } });
-    if (m_route->kind == route_kind::EventStream)
-        armCallTimer(m_firstEventSeen ? m_options.eventTimeout * 2 : m_options.firstEventTimeout);
-    else if (m_route->kind == route_kind::Idempotent)
+    if (m_route->kind == route_kind::EventStream && m_route->idempotent()) {
+        m_watch.sent(m_deliveredEvents, now);
+        checkStream();
+    } else if (m_route->kind == route_kind::Idempotent)
         armCallTimer(fromSeconds(toSeconds(m_route->latencyTarget) * m_options.attemptTimeoutShare));
 }
 
@@ -135,6 +150,7 @@
 
 void request_session::relayEvents(std::string_view bytes)
 {
+    const mono_time now = bootNow();
     for (const stream_event& event : m_splitter.feed(bytes)) {
         const event_order order = m_events.check(event);
         if (order == event_order::Duplicate)
@@ -143,16 +159,24 @@
             return callFailed(call_failure::Lost, "event_gap");
         if (!m_firstEventSeen) {
             m_firstEventSeen = true;
-            m_firstEventAt = bootNow();
+            m_firstEventAt = now;
             beginResponse();
-            // A server reads all its inputs before it sends the first event.
+        }
+        if (!m_serverBegan) {
+            m_serverBegan = true;
+            // A server reads all its inputs before it sends the first event. Keeping them for a continuation would
+            // occupy result storage for the whole stream; a continuation makes them again.
             releaseFinalResults();
         }
         m_writer->write(event.bytes);
         m_events.delivered(event);
+        m_deliveredEvents = std::max(m_deliveredEvents + 1, eventNumber(event.id));
+        m_watch.eventArrived(m_deliveredEvents, now);
     }
+    m_watch.bytesArrived(bytes.size(), now);
     applyBackpressure();
-    armCallTimer(m_firstEventSeen ? m_options.eventTimeout : m_options.firstEventTimeout);
+    if (!m_callTimer && m_route->idempotent())
+        checkStream();
 }
 
 void request_session::applyBackpressure()
@@ -213,13 +237,19 @@
         m_context.balancer.rejected(m_server->id, now);
     m_server.reset();
     m_context.loop.cancel(m_callTimer);
-    if (m_response.inputsMissing)
-        return m_mayHaveRun ? failAfterSend("inputs_gone") : refuseNotRun("inputs_gone");
+    if (m_response.inputsMissing) {
+        if (m_attempts < m_route->maxAttempts && expectedRemakeTime() < remaining()
+            && m_context.retryBudget.trySpend(m_pool, now)) {
+            m_context.metrics.count("repeats", "inputs_gone");
+            return remakeInputs();
+        }
+        return giveUp("inputs_gone");
+    }
     if (m_attempts < m_route->maxAttempts && m_context.retryBudget.trySpend(m_pool, now)) {
         m_context.metrics.count("repeats", "rejected");
-        return send();
+        return sendAgain();
     }
-    m_mayHaveRun ? failAfterSend("server_full") : refuseNotRun("server_full");
+    giveUp("server_full");
 }
 
 void request_session::callFailed(call_failure kind, std::string_view cause)
@@ -240,13 +270,13 @@
         // No server received the request, so this does not count as one of the route's attempts.
         m_attempts -= 1;
         m_context.metrics.count("repeats", "not_reached");
-        return send();
+        return sendAgain();
     }
     m_mayHaveRun = true;
     const bool retryAllowed = m_route->idempotent() && (!m_responseStarted || m_firstEventSeen);
     if (retryAllowed && mayRetry() && m_context.retryBudget.trySpend(m_pool, now)) {
         m_context.metrics.count("repeats", m_firstEventSeen ? "resumed" : "failed");
-        return send();
+        return sendAgain();
     }
     m_responseStarted ? abortResponse(cause) : failAfterSend(cause);
 }
@@ -266,15 +296,88 @@
 void request_session::callTimedOut()
 {
     m_callTimer = 0;
-    if (m_done || !m_exchange || !m_route->idempotent() || !mayRetry())
-        return;
-    // A response that has begun cannot be retried unless it is an event stream.
-    if (m_responseStarted && !m_firstEventSeen)
+    // A response that has begun cannot be retried.
+    if (m_done || !m_exchange || m_responseStarted || !mayRetry())
         return;
     m_context.quarantine.dropped(m_attempt);
     callFailed(call_failure::TimedOut, "silent");
 }
 
+void request_session::checkStream()
+{
+    m_context.loop.cancel(m_callTimer);
+    m_callTimer = 0;
+    if (m_done || !m_exchange)
+        return;
+    const mono_time now = bootNow();
+    if (m_writer->unwritten() > m_options.relayHighWaterMark)
+        m_watch.readingPaused(now);
+    switch (m_watch.next(now)) {
+    case stream_action::Wait:
+        break;
+    case stream_action::Ask:
+        return askAboutRun();
+    case stream_action::Replace:
+        if (!mayReplaceStream()) {
+            // The stream may still go on. The next event starts the checks again.
+            m_context.metrics.count("streams_kept", toString(m_watch.loss()));
+            return;
+        }
+        m_context.quarantine.dropped(m_attempt);
+        return callFailed(
+            m_watch.loss() == stream_loss::NotBegun ? call_failure::NotBegun : call_failure::TimedOut,
+            toString(m_watch.loss()));
+    }
+    // A pending question calls this function again when it is answered.
+    if (m_watch.nextCheck() > now) {
+        m_callTimer = m_context.loop.after(m_watch.nextCheck() - now, [self = shared_from_this()] {
+            self->m_callTimer = 0;
+            self->checkStream();
+        });
+    }
+}
+
+void request_session::askAboutRun()
+{
+    m_context.reports.ask(*m_server,
+        [self = shared_from_this(), asked = m_attempt](report_outcome outcome, const server_report* report) {
+            self->runStatusArrived(outcome, report, asked);
+        });
+}
+
+void request_session::runStatusArrived(report_outcome outcome, const server_report* report, attempt_id asked)
+{
+    if (m_done || !m_exchange || m_attempt != asked)
+        return;
+    const mono_time now = bootNow();
+    if (outcome == report_outcome::Unanswered) {
+        m_watch.notAnswered(now);
+    } else if (!report) {
+        m_watch.answered(std::nullopt, now);
+    } else {
+        run_status status;
+        status.requestsWaiting = report->waiting > 0;
+        if (const auto run = report->eventsByRun.find(m_request.id); run != report->eventsByRun.end())
+            status.events = run->second;
+        m_watch.answered(status, now);
+    }
+    checkStream();
+}
+
+// A continuation is started only if it can succeed. The silent stream is kept otherwise.
+bool request_session::mayReplaceStream()
+{
+    const duration needed = inputsKept() ? expectedEngineTime() : expectedRemakeTime();
+    return mayRetry() && needed < remaining();
+}
+
+void request_session::sendAgain()
+{
+    if (inputsKept())
+        return send();
+    remakeInputs();
+}
+
 void request_session::beginResponse()
 {
     m_responseStarted = true;
@@ -339,8 +442,12 @@
     finish(retryable ? "refused" : "failed", reason);
 }
 
-// For requests that were not executed and will not be.
-void request_session::refuseNotRun(std::string_view reason) { refuse(statusUnavailable, reason); }
+void request_session::giveUp(std::string_view reason)
+{
+    if (m_mayHaveRun)
+        return failAfterSend(reason);
+    refuse(statusUnavailable, reason);
+}
 
 // For requests that may have been executed: the status does not invite the caller to retry.
 void request_session::failAfterSend(std::string_view reason) { refuse(statusBadGateway, reason); }
@@ -361,13 +468,13 @@
         return abortResponse("deadline");
     if (m_exchange || m_mayHaveRun)
         return refuse(statusGatewayTimeout, "deadline");
-    refuseNotRun("deadline_in_queue");
+    giveUp("deadline_in_queue");
 }
 
 void request_session::rejectIfWaiting(std::string_view reason)
 {
     if (!m_done && !m_exchange && !m_mayHaveRun && !m_responseStarted)
-        refuseNotRun(reason);
+        giveUp(reason);
 }
 
 void request_session::callerDisconnected()
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -5,6 +5,7 @@
 #include "balsamspring/gateway/event_splitter.h"
 #include "balsamspring/gateway/gateway_context.h"
 #include "balsamspring/gateway/piece_router.h"
+#include "balsamspring/gateway/stream_watch.h"
 #include "balsamspring/net/http_service.h"
 
 #include <functional>
@@ -22,9 +23,8 @@
     // An idempotent call that is not complete after this share of the latency target is retried on another server,
     // unless its response is already being relayed.
     double attemptTimeoutShare = 0.6;
-    // A resumable stream that sends no data for this long is resumed on another server, if a retry is allowed.
-    duration firstEventTimeout = std::chrono::milliseconds(1800);
-    duration eventTimeout = std::chrono::milliseconds(600);
+    // When a silent resumable stream is continued on another server, if a retry is allowed.
+    stream_watch_options streamWatch;
     // Range of the Retry-After value of a refusal.
     duration minRetryAfter = std::chrono::milliseconds(150);
     duration maxRetryAfter = std::chrono::milliseconds(900);
@@ -86,6 +86,12 @@
     duration expectedEngineTime() const;
     void releaseStage(std::size_t index);
     void releaseFinalResults();
+    // Whether the results that the engine reads have not been released.
+    bool inputsKept() const;
+    // Runs all stages again, because their results were released or have expired. Ends with send().
+    void remakeInputs();
+    // Expected time from now to the response if all stages run again.
+    duration expectedRemakeTime() const;
     std::vector<std::string> finalStageHandles() const;
     // The availability zone that stores most bytes of the results of these stages. Empty if there are no results.
     zone_id zoneOfResults(const std::vector<std::size_t>& stages) const;
@@ -93,6 +99,8 @@
 
     // The call to the backend server.
     void send();
+    // Sends the request to another server, after making its inputs again if necessary.
+    void sendAgain();
     const server_entry* chooseServer();
     std::uint64_t prefixHash() const;
     void headArrived(const http_head& head);
@@ -103,6 +111,11 @@
     void callTimedOut();
     bool mayRetry();
     void armCallTimer(duration limit);
+    // Watches over a silent stream.
+    void checkStream();
+    void askAboutRun();
+    void runStatusArrived(report_outcome outcome, const server_report* report, attempt_id asked);
+    bool mayReplaceStream();
     void recordSuccess();
 
     // The response to the caller.
@@ -111,7 +124,8 @@
     void deliverResponse();
     void beginResponse();
     void refuse(unsigned status, std::string_view reason);
-    void refuseNotRun(std::string_view reason);
+    // Ends the request with the status that is true of it: whether a server may have executed it.
+    void giveUp(std::string_view reason);
     void failAfterSend(std::string_view reason);
     void abortResponse(std::string_view reason);
     void deadlinePassed();
@@ -155,7 +169,14 @@
     bool m_responseStarted = false;
     event_splitter m_splitter;
     event_sequence m_events;
+    stream_watch m_watch;
+    // Events that were delivered to the caller, including those of its previous connection.
+    std::uint64_t m_deliveredEvents = 0;
     bool m_firstEventSeen = false;
+    // The current server has sent an event.
+    bool m_serverBegan = false;
+    // The stages run for the second time or later.
+    bool m_stagesRepeated = false;
     mono_time m_firstEventAt {};
     event_loop::timer_id m_deadlineTimer = 0;
     event_loop::timer_id m_callTimer = 0;
--- a/balsamspring/gateway/request_session_admission.cc
+++ b/balsamspring/gateway/request_session_admission.cc
@@ -17,7 +17,7 @@
 {
     m_config = m_context.config.current();
     if (!m_config) {
-        refuseNotRun("no_configuration");
+        giveUp("no_configuration");
         return false;
     }
     if (!findRoute() || !authenticate())
@@ -25,7 +25,7 @@
     m_content = fingerprint(combineHash(
         hash64(m_request.target, hash64(m_team ? m_team->value() : std::string())), hash64(m_incoming.body)));
     if (m_context.quarantine.quarantineStatus(m_content, m_incoming.receivedAt) == quarantine_status::Quarantined) {
-        refuseNotRun("crashes_servers");
+        giveUp("crashes_servers");
         return false;
     }
     return true;
@@ -37,7 +37,7 @@
     if (!m_route || m_route->pools.empty()) {
         // The route may have been added while this VM could not reach the store.
         if (!m_context.config.keysTrusted(bootNow()))
-            refuseNotRun("configuration_unconfirmed");
+            giveUp("configuration_unconfirmed");
         else
             refuse(statusNotFound, "no_route");
         return false;
@@ -63,7 +63,7 @@
     if (m_route->anonymous)
         return true;
     if (!m_context.config.keysTrusted(bootNow())) {
-        refuseNotRun("keys_unconfirmed");
+        giveUp("keys_unconfirmed");
         return false;
     }
     const team_spec* team = m_request.key ? m_config->teamOfKey(*m_request.key) : nullptr;
@@ -89,7 +89,7 @@
         return false;
     }
     if (!m_context.config.keysTrusted(bootNow())) {
-        refuseNotRun("keys_unconfirmed");
+        giveUp("keys_unconfirmed");
         return false;
     }
     return true;
--- a/balsamspring/gateway/request_session_stages.cc
+++ b/balsamspring/gateway/request_session_stages.cc
@@ -56,7 +56,7 @@
     const stage_spec& spec = m_route->stages[index];
     const pool_spec* pool = m_config->pool(spec.pool);
     if (!pool || !pool->pieces)
-        return refuseNotRun("stage_unknown");
+        return giveUp("stage_unknown");
     if (!keyStillValid())
         return;
     m_stages[index].submitted = true;
@@ -78,6 +78,7 @@
     work.requiredSlack = expectedTimeAfterStage(index, m_options.stageSlackFactor) + m_options.engineSlack - after;
     work.deadline = m_deadline - after;
     work.priority = m_priority;
+    work.repeated = m_stagesRepeated;
     m_stages[index].ticket = m_context.pieces.submit(
         *pool->pieces, std::move(work), [self = shared_from_this(), index](result<std::vector<piece_result>> outcome) {
             self->stageDone(index, std::move(outcome));
@@ -94,7 +95,7 @@
         return;
     }
     if (!outcome)
-        return refuseNotRun(fmt::format("stage_{}", toString(outcome.error().code)));
+        return giveUp(fmt::format("stage_{}", toString(outcome.error().code)));
     stage.done = true;
     stage.results = std::move(*outcome);
     // The results of an input stage are released once all stages that read them are done.
@@ -157,6 +158,41 @@
         releaseStage(i);
 }
 
+bool request_session::inputsKept() const
+{
+    return std::none_of(m_stages.begin(), m_stages.end(), [this](const stage_progress& stage) {
+        return stage.released && isFinalStage(static_cast<std::size_t>(&stage - m_stages.data()));
+    });
+}
+
+void request_session::remakeInputs()
+{
+    releaseFinalResults();
+    m_stages.clear();
+    m_stagesRepeated = true;
+    // The caller waits for the rest of a response, so the stages are as urgent as those of a new request.
+    m_targetTime = std::min(bootNow() + m_route->latencyTarget, m_deadline);
+    logLine(log_level::Info, "inputs_remade",
+        { { "id", m_request.id.value() }, { "attempts", std::to_string(m_attempts) },
+            { "delivered", std::to_string(m_deliveredEvents) } });
+    prepareStages();
+    submitReadyStages();
+}
+
+duration request_session::expectedRemakeTime() const
+{
+    duration longest = expectedEngineTime();
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        const pool_spec* pool = m_config->pool(m_route->stages[i].pool);
+        if (m_request.pieceCounts[i] == 0 || !pool || !pool->pieces)
+            continue;
+        const duration call = pool->pieces->callTime
+            + pool->pieces->pieceTime * std::min(m_request.pieceCounts[i], pool->pieces->batch);
+        longest = std::max(longest, call + expectedTimeAfterStage(i, 0));
+    }
+    return longest;
+}
+
 std::vector<std::size_t> request_session::finalStages() const
 {
     std::vector<std::size_t> stages;
--- a/balsamspring/gateway/server_balancer.cc
+++ b/balsamspring/gateway/server_balancer.cc
@@ -89,6 +89,8 @@
 
 void server_balancer::failed(const backend_id& server, call_failure kind, mono_time now)
 {
+    if (kind == call_failure::NotBegun)
+        return rejected(server, now);
     server_stats& stats = m_servers[server];
     release(stats);
     stats.consecutiveFailures += 1;
--- a/balsamspring/gateway/server_balancer.h
+++ b/balsamspring/gateway/server_balancer.h
@@ -21,6 +21,7 @@
     Lost, // The connection ended before a complete response, or the response was invalid.
     TimedOut, // The response or the next part of the stream did not arrive in time.
     ErrorResponse, // The server returned an error status.
+    NotBegun, // The request waited too long at the server and was taken back. No failure of the server.
 };
 
 struct balancer_options {
--- a/balsamspring/gateway/wire_adapter.h
+++ b/balsamspring/gateway/wire_adapter.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -70,6 +71,14 @@
     bool hasSignature = false;
 };
 
+// What a backend server reports about its load and its runs. The values are some hundred milliseconds old.
+struct server_report {
+    unsigned running = 0;
+    unsigned waiting = 0;
+    // Number of events that each run in progress has made.
+    std::map<request_id, std::uint64_t> eventsByRun;
+};
+
 // One piece of a stage in a call to a server of the stage's pool.
 struct piece_item {
     request_id id;
@@ -107,6 +116,8 @@
     std::function<std::string(const endpoint&, const backend_id&, const std::vector<piece_item>&)> encodePieceCall;
     std::function<result<std::vector<piece_outcome>>(const std::string& body)> decodePieceResponse;
     std::function<std::string(const endpoint&, const std::vector<std::string>& handles)> encodeRelease;
+    std::function<std::string(const endpoint&)> encodeReportRequest;
+    std::function<result<server_report>(const std::string& body)> decodeReport;
     // Address of the server that stores the result of a handle.
     std::function<result<endpoint>(const std::string& handle)> serverOfHandle;
 };
