Choose engines by the shared prefix before the zone; learn result storage at a take-over; substitutes for dead gatherers

(3) When the owner of a pool and its backup died together, every VM called the servers itself. (4) Storage limits calls to half of a batch, but refusals were predicted from full batches. (5) The results of a short branch of stages waited for the longer one and occupied storage.

Change: a prefix that takes longer than 25 ms to read outranks the zone. A VM that begins to gather asks the servers for their free storage; frees of results that others made are counted, and a server without room is taken as full. All VMs choose the same substitute among the owners of the next partitions. The throughput of a pool with a backlog is measured. A branch starts when it would end together with the longest one. The lifetime of inputs bounds the deadline of a piece. While not all targets are in reach, priorities go first in three of four calls. A resumed caller's last event is known to the order check.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -49,11 +49,11 @@
         , suspects(decoders.suspectTopic, store, quarantine, metrics)
         , backends(loop, {})
         , reports({}, loop, wire, backends, metrics)
-        , pieces({}, { loop, wire, servers, retryBudget, backends, metrics })
+        , pieces({}, { loop, wire, servers, retryBudget, backends, reports, metrics })
         , router({}, loop, pieces, metrics)
         , gatherer({}, loop, pieces, config, sharedOwnership)
-        , context { loop, wire, settings.zone, config, servers, balancer, retryBudget, quarantine, backends, reports,
-            router, metrics, random,
+        , context { loop, wire, settings.zone, config, servers, balancer, retryBudget, stageTimes, quarantine,
+            backends, reports, router, metrics, random,
             [this](const server_entry& server) {
                 checkAlive(server);
             } }
@@ -417,6 +417,7 @@
     server_registry servers;
     server_balancer balancer;
     retry_budget retryBudget;
+    stage_times stageTimes;
     crash_quarantine quarantine;
     suspect_sharing suspects;
     exchange_client backends;
--- a/balsamspring/gateway/gateway_context.h
+++ b/balsamspring/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 #include "balsamspring/gateway/server_balancer.h"
 #include "balsamspring/gateway/server_registry.h"
 #include "balsamspring/gateway/server_reports.h"
+#include "balsamspring/gateway/stage_times.h"
 #include "balsamspring/gateway/wire_adapter.h"
 #include "balsamspring/net/event_loop.h"
 #include "balsamspring/net/http_exchange.h"
@@ -29,6 +30,7 @@
     server_registry& servers;
     server_balancer& balancer;
     retry_budget& retryBudget;
+    stage_times& stageTimes;
     crash_quarantine& quarantine;
     exchange_client& backendClient;
     server_reports& reports;
--- a/balsamspring/gateway/piece_queue.cc
+++ b/balsamspring/gateway/piece_queue.cc
@@ -25,6 +25,8 @@
 {
     if (now + predictedDelay(group.count, servers, group.targetTime, now) > group.deadline)
         return false;
+    if (!m_backlogSince)
+        m_backlogSince = now;
     m_groups.push_back(group);
     m_waitingPieces += group.count;
     return true;
@@ -59,7 +61,7 @@
 
 std::vector<piece_ticket> piece_queue::takeInfeasible(server_list servers, mono_time now)
 {
-    const double rate = maxThroughput(servers, now);
+    const double rate = expectedThroughput(servers, now);
     if (rate <= 0)
         return {};
     std::vector<std::list<piece_group>::iterator> withoutSlack;
@@ -88,6 +90,8 @@
 
 std::optional<piece_queue::call> piece_queue::next(server_list servers, mono_time now)
 {
+    if (m_groups.empty())
+        m_backlogSince.reset();
     if (m_groups.empty() || (m_callLimit > 0 && m_callsInProgress >= m_callLimit))
         return std::nullopt;
     std::set<zone_id> zones;
@@ -96,9 +100,10 @@
         if (found == m_servers.end() || now >= found->second.blockedUntil)
             zones.insert(server->zone);
     }
+    const double rate = expectedThroughput(servers, now);
     for (const server_entry* server : freeServers(servers, now)) {
         call filled { server->id, {}, 0 };
-        fill(filled, *server, zones, now);
+        fill(filled, *server, zones, rate, now);
         if (filled.pieces == 0) // no storage for a result, or all pieces wait for a server in another zone
             continue;
         m_servers[server->id].calls += 1;
@@ -114,7 +119,7 @@
     struct candidate {
         const server_entry* server;
         double slowness;
-        std::uint64_t reservedBytes;
+        std::uint64_t occupiedBytes;
     };
     std::vector<candidate> candidates;
     std::size_t fastServers = 0;
@@ -124,8 +129,8 @@
         const double slowness = slowdown(state, now);
         if (slowness < m_options.slowFactor && now >= state.blockedUntil)
             fastServers += 1;
-        if (state.calls < m_spec.slots && now >= state.blockedUntil)
-            candidates.push_back({ server, slowness, state.reservedBytes });
+        if (state.calls < m_spec.slots && now >= state.blockedUntil && now >= state.awaitsStorageUntil)
+            candidates.push_back({ server, slowness, occupiedBytes(state, now) });
     }
     const bool fastSuffice = m_waitingPieces <= fastServers * m_spec.batch;
     std::erase_if(
@@ -134,7 +139,7 @@
     std::sort(candidates.begin(), candidates.end(), [&](const candidate& a, const candidate& b) {
         const bool aSlow = a.slowness >= m_options.slowFactor;
         const bool bSlow = b.slowness >= m_options.slowFactor;
-        return aSlow != bSlow ? bSlow : a.reservedBytes < b.reservedBytes;
+        return aSlow != bSlow ? bSlow : a.occupiedBytes < b.occupiedBytes;
     });
     std::vector<const server_entry*> ordered;
     ordered.reserve(candidates.size());
@@ -153,7 +158,25 @@
         || now + maxWait + expectedTime(std::min(group.count, m_spec.batch)) > group.targetTime;
 }
 
-void piece_queue::fill(call& filled, const server_entry& target, const std::set<zone_id>& zones, mono_time now)
+// Whether all groups with slack keep it if they are served in the order of their urgency. Sorts the groups by it.
+bool piece_queue::targetsInReach(
+    std::vector<std::list<piece_group>::iterator>& groups, double rate, mono_time now) const
+{
+    std::stable_sort(groups.begin(), groups.end(),
+        [this](const auto& a, const auto& b) { return urgency(*a) < urgency(*b); });
+    double piecesAhead = 0;
+    for (const auto& group : groups) {
+        if (!hasSlack(*group, now))
+            continue;
+        if (rate <= 0 || !hasSlack(*group, now + fromSeconds(piecesAhead / rate)))
+            return false;
+        piecesAhead += group->count;
+    }
+    return true;
+}
+
+void piece_queue::fill(
+    call& filled, const server_entry& target, const std::set<zone_id>& zones, double rate, mono_time now)
 {
     std::vector<std::list<piece_group>::iterator> order;
     for (auto group = m_groups.begin(); group != m_groups.end(); ++group) {
@@ -163,17 +186,20 @@
     const auto isRemote = [&](const piece_group& group) {
         return !group.inputZone.value().empty() && group.inputZone != target.zone;
     };
+    const bool byPriority = !targetsInReach(order, rate, now) && m_priorityCalls + 1 < m_options.callsPerFairCall;
+    m_priorityCalls = byPriority ? m_priorityCalls + 1 : 0;
     std::stable_sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
         const bool aHasSlack = hasSlack(*a, now);
         const bool bHasSlack = hasSlack(*b, now);
         if (aHasSlack != bHasSlack)
             return aHasSlack;
+        if (byPriority && a->priority != b->priority)
+            return a->priority < b->priority;
         return isRemote(*a) != isRemote(*b) ? isRemote(*b) : urgency(*a) < urgency(*b);
     });
     const server_state& server = m_servers[target.id];
-    const auto usableBytes
-        = static_cast<std::uint64_t>(m_options.usableResultShare * static_cast<double>(m_spec.resultCapacity));
-    std::uint64_t freeBytes = usableBytes > server.reservedBytes ? usableBytes - server.reservedBytes : 0;
+    const std::uint64_t occupied = occupiedBytes(server, now);
+    std::uint64_t freeBytes = usableBytes() > occupied ? usableBytes() - occupied : 0;
     for (const auto& group : order) {
         if (filled.pieces >= m_spec.batch)
             break;
@@ -185,7 +211,7 @@
             const auto fitting
                 = static_cast<unsigned>(std::min<std::uint64_t>(freeBytes / group->resultBytes, m_spec.batch));
             // Only a group whose results exceed the storage of an empty server is split.
-            if (fitting < take && (fitting == 0 || server.reservedBytes > 0 || filled.pieces > 0))
+            if (fitting < take && (fitting == 0 || occupied > 0 || filled.pieces > 0))
                 continue;
             take = std::max(1U, std::min(take, fitting));
             freeBytes -= std::min(freeBytes, take * group->resultBytes);
@@ -204,6 +230,7 @@
     server_state& state = m_servers[server];
     endCall(state);
     state.failures = 0;
+    recordThroughput(pieces, now);
     state.slowdown = std::max(1.0, toSeconds(elapsed) / std::max(0.001, toSeconds(expectedTime(pieces))));
     state.slowdownAt = now;
 }
@@ -237,6 +264,37 @@
         found->second.reservedBytes -= std::min(found->second.reservedBytes, bytes);
 }
 
+void piece_queue::awaitStorage(const backend_id& server, mono_time until)
+{
+    m_servers[server].awaitsStorageUntil = until;
+}
+
+void piece_queue::storageKnown(const backend_id& server, std::uint64_t freeBytes, mono_time expiresAt)
+{
+    server_state& state = m_servers[server];
+    state.awaitsStorageUntil = {};
+    const std::uint64_t occupied = m_spec.resultCapacity > freeBytes ? m_spec.resultCapacity - freeBytes : 0;
+    state.foreignBytes = occupied > state.reservedBytes ? occupied - state.reservedBytes : 0;
+    state.foreignUntil = expiresAt;
+}
+
+void piece_queue::releaseForeignBytes(const backend_id& server, std::uint64_t bytes)
+{
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end())
+        found->second.foreignBytes -= std::min(found->second.foreignBytes, bytes);
+}
+
+std::uint64_t piece_queue::usableBytes() const
+{
+    return static_cast<std::uint64_t>(m_options.usableResultShare * static_cast<double>(m_spec.resultCapacity));
+}
+
+std::uint64_t piece_queue::occupiedBytes(const server_state& server, mono_time now)
+{
+    return server.reservedBytes + (now < server.foreignUntil ? server.foreignBytes : 0);
+}
+
 void piece_queue::resetServer(const backend_id& server)
 {
     const auto found = m_servers.find(server);
@@ -261,9 +319,32 @@
     return rate;
 }
 
+double piece_queue::expectedThroughput(server_list servers, mono_time now) const
+{
+    const double maximum = maxThroughput(servers, now);
+    if (!m_backlogSince || now - *m_backlogSince < m_options.throughputWindow)
+        return maximum;
+    std::size_t served = 0;
+    for (const auto& [time, pieces] : m_servedPieces) {
+        if (now - time <= m_options.throughputWindow)
+            served += pieces;
+    }
+    // Nothing is known while no call ends, for example after all servers were blocked.
+    if (served == 0)
+        return maximum;
+    return std::min(maximum, static_cast<double>(served) / toSeconds(m_options.throughputWindow));
+}
+
+void piece_queue::recordThroughput(unsigned pieces, mono_time now)
+{
+    m_servedPieces.emplace_back(now, pieces);
+    while (now - m_servedPieces.front().first > m_options.throughputWindow)
+        m_servedPieces.pop_front();
+}
+
 duration piece_queue::predictedDelay(unsigned pieces, server_list servers, mono_time targetTime, mono_time now) const
 {
-    const double rate = maxThroughput(servers, now);
+    const double rate = expectedThroughput(servers, now);
     const double fullCall = toSeconds(expectedTime(m_spec.batch));
     if (rate <= 0)
         return expectedTime(std::min(pieces, m_spec.batch));
--- a/balsamspring/gateway/piece_queue.h
+++ b/balsamspring/gateway/piece_queue.h
@@ -6,18 +6,22 @@
 // those that cannot, and requests that cannot be served before their deadline are rejected at once.
 //
 // Above the capacity of a pool, ordering by urgency alone delays every request until just before its target, and a
-// delay in a later stage then makes it late. Requests that still have slack for the later stages therefore go first.
+// delay in a later stage then makes it late. Requests that still have slack for the later stages therefore go first. If
+// not all of these can be served in time, the more urgent priorities go before the others. A share of the calls still
+// goes by urgency alone, so that no priority starves.
 #pragma once
 
 #include "balsamspring/gateway/server_registry.h"
 #include "balsamspring/gateway/serving_config.h"
 
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <optional>
 #include <set>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace balsamspring {
@@ -40,6 +44,10 @@
 struct piece_queue_options {
     // Each priority level counts like a latency target that is later by this time.
     duration priorityStep = std::chrono::milliseconds(60);
+    // One of this many calls ignores the priorities while not all requests can be served in time.
+    unsigned callsPerFairCall = 4;
+    // The throughput of a pool that had waiting work for this long is known.
+    duration throughputWindow = std::chrono::milliseconds(1500);
     // A server whose calls take this multiple of their expected time gets work only when the others are not enough.
     double slowFactor = 2;
     duration slownessHalfLife = std::chrono::seconds(2); // decay of a server's measured slowdown
@@ -96,6 +104,15 @@
     // Account for the result storage of the server that is reserved for calls in progress or occupied by results.
     void reserveResultBytes(const backend_id& server, std::uint64_t bytes);
     void releaseResultBytes(const backend_id& server, std::uint64_t bytes);
+    // Keeps the server from getting calls until its storage is known, but not beyond `until`.
+    void awaitStorage(const backend_id& server, mono_time until);
+    // The server's free storage is known. Results of other VMs occupy what is neither free nor reserved here. They
+    // expire at `expiresAt` at the latest.
+    void storageKnown(const backend_id& server, std::uint64_t freeBytes, mono_time expiresAt);
+    // The server had no storage for a result, so that results of other VMs occupy all that is not reserved here.
+    void storageExhausted(const backend_id& server, mono_time expiresAt) { storageKnown(server, 0, expiresAt); }
+    // A result of another VM was freed.
+    void releaseForeignBytes(const backend_id& server, std::uint64_t bytes);
     // Discards everything known of a server that was removed or restarted, except its calls in progress.
     void resetServer(const backend_id& server);
 
@@ -115,12 +132,22 @@
         mono_time slowdownAt {};
         mono_time blockedUntil {};
         std::uint64_t reservedBytes = 0; // of result storage
+        std::uint64_t foreignBytes = 0; // of result storage, occupied by results that another VM has made
+        mono_time foreignUntil {};
+        mono_time awaitsStorageUntil {};
     };
 
     double slowdown(const server_state& server, mono_time now) const;
+    std::uint64_t usableBytes() const;
+    static std::uint64_t occupiedBytes(const server_state& server, mono_time now);
     double maxThroughput(server_list servers, mono_time now) const;
+    // Pieces per second that the pool is expected to serve: what it has served while work was waiting, which result
+    // storage or failures may limit.
+    double expectedThroughput(server_list servers, mono_time now) const;
+    void recordThroughput(unsigned pieces, mono_time now);
     std::vector<const server_entry*> freeServers(server_list servers, mono_time now) const;
-    void fill(call& filled, const server_entry& server, const std::set<zone_id>& zones, mono_time now);
+    void fill(call& filled, const server_entry& server, const std::set<zone_id>& zones, double rate, mono_time now);
+    bool targetsInReach(std::vector<std::list<piece_group>::iterator>& groups, double rate, mono_time now) const;
     bool mayRunInZone(
         const piece_group& group, const zone_id& zone, const std::set<zone_id>& zones, mono_time now) const;
     void endCall(server_state& server);
@@ -134,6 +161,9 @@
     std::size_t m_waitingPieces = 0;
     unsigned m_callsInProgress = 0;
     unsigned m_callLimit = 0; // 0: none
+    unsigned m_priorityCalls = 0; // consecutive calls that were filled by priority
+    std::optional<mono_time> m_backlogSince; // none: no work is waiting
+    std::deque<std::pair<mono_time, unsigned>> m_servedPieces; // in the throughput window
 };
 
 } // namespace balsamspring
--- a/balsamspring/gateway/piece_queue_test.cc
+++ b/balsamspring/gateway/piece_queue_test.cc
@@ -1,6 +1,7 @@
 #include "balsamspring/base/random.h"
 #include "balsamspring/gateway/piece_queue.h"
 
+#include <functional>
 #include <map>
 #include <queue>
 
@@ -382,3 +383,124 @@
     CHECK(queue.next(list, start));
     CHECK_FALSE(queue.next(list, start));
 }
+
+TEST_CASE("results that another VM has made occupy storage until they are freed or expire")
+{
+    piece_spec spec = makeSpec();
+    spec.resultCapacity = 10'000;
+    const auto servers = makeServers(1);
+    const auto list = pointers(servers);
+    const auto piecesOfNextCall = [&](const std::function<void(piece_queue&)>& prepare, mono_time now) {
+        piece_queue queue(spec, {});
+        prepare(queue);
+        for (piece_ticket ticket = 1; ticket <= 9; ++ticket) {
+            piece_group group = makeGroup(ticket, 1, start + 10s, start + 20s);
+            group.resultBytes = 1000;
+            queue.add(group, list, start);
+        }
+        const auto call = queue.next(list, now);
+        return call ? call->pieces : 0U;
+    };
+    const backend_id server = servers[0].id;
+    CHECK(piecesOfNextCall([](piece_queue&) {}, start) == 9);
+    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.storageKnown(server, 4000, start + 4s); }, start) == 3);
+    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.storageKnown(server, 4000, start + 4s); }, start + 5s) == 9);
+    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.storageExhausted(server, start + 4s); }, start) == 0);
+    CHECK(piecesOfNextCall(
+              [&](piece_queue& queue) {
+                  queue.storageExhausted(server, start + 4s);
+                  queue.releaseForeignBytes(server, 3000);
+              },
+              start)
+        == 2);
+    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.awaitStorage(server, start + 80ms); }, start) == 0);
+    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.awaitStorage(server, start + 80ms); }, start + 90ms) == 9);
+}
+
+namespace {
+
+struct mixed_replay_result {
+    std::map<unsigned, int> onTime; // by priority
+    std::map<unsigned, int> asked;
+
+    double share(unsigned priority) const { return static_cast<double>(onTime.at(priority)) / asked.at(priority); }
+};
+
+// Three kinds of requests arrive above the capacity of the pool. The more urgent ones have the shorter targets.
+mixed_replay_result replayPriorities(double load, unsigned callsPerFairCall, std::uint64_t seed)
+{
+    piece_spec spec = makeSpec();
+    spec.batch = 10;
+    spec.pieceTime = 13ms;
+    spec.resultCapacity = 0;
+    const auto servers = makeServers(17);
+    const auto list = pointers(servers);
+    const double capacity = 17 * 10 / toSeconds(spec.callTime + spec.pieceTime * 10);
+    piece_queue_options options;
+    options.callsPerFairCall = callsPerFairCall;
+    piece_queue queue(spec, options);
+    random_engine random(seed);
+    const duration targets[] = { 550ms, 1200ms, 3000ms };
+    mixed_replay_result outcome;
+    struct running_call {
+        mono_time end;
+        piece_queue::call call;
+    };
+    std::vector<running_call> running;
+    std::map<piece_ticket, piece_group> groups;
+    std::map<piece_ticket, unsigned> missing;
+    piece_ticket nextTicket = 1;
+    for (mono_time now = start; now < start + 12s; now += 5ms) {
+        for (auto item = running.begin(); item != running.end();) {
+            if (item->end > now) {
+                ++item;
+                continue;
+            }
+            queue.succeeded(item->call.server, item->call.pieces, spec.callTime + spec.pieceTime * item->call.pieces, now);
+            for (const auto& part : item->call.parts) {
+                missing[part.ticket] -= part.count;
+                const piece_group& group = groups.at(part.ticket);
+                if (missing[part.ticket] == 0 && now <= group.targetTime)
+                    outcome.onTime[group.priority] += 1;
+            }
+            item = running.erase(item);
+        }
+        for (unsigned priority = 0; priority < 3; ++priority) {
+            // Two pieces a request.
+            if (now < start + 8s && uniform(random) < load * capacity / 3 / 2 * 0.005) {
+                piece_group group = makeGroup(nextTicket++, 2, now + targets[priority], now + 6s);
+                group.priority = priority;
+                group.queuedAt = now;
+                outcome.asked[priority] += 1;
+                groups[group.ticket] = group;
+                missing[group.ticket] = 2;
+                queue.add(group, list, now);
+            }
+        }
+        queue.takeExpired(now);
+        queue.takeInfeasible(list, now);
+        while (const auto call = queue.next(list, now))
+            running.push_back({ now + spec.callTime + spec.pieceTime * call->pieces, *call });
+    }
+    return outcome;
+}
+
+} // namespace
+
+TEST_CASE("above the capacity of a pool the most urgent priority is served first and none starves")
+{
+    // On qasr-annex-grown scale-1 the most urgent kind of request was served worst: its target is the shortest, so that
+    // its requests lost their slack first and went behind all others.
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        const auto withPriorities = replayPriorities(1.6, 4, seed);
+        CHECK(withPriorities.share(0) >= 0.9);
+        CHECK(withPriorities.share(2) >= 0.1);
+        const auto without = replayPriorities(1.6, 1, seed);
+        CHECK(without.share(0) < 0.8);
+        // Below the capacity the order does not matter.
+        const auto calm = replayPriorities(0.7, 4, seed);
+        CHECK(calm.share(0) >= 0.98);
+        CHECK(calm.share(2) >= 0.98);
+    }
+}
--- a/balsamspring/gateway/piece_router.cc
+++ b/balsamspring/gateway/piece_router.cc
@@ -21,9 +21,14 @@
     endpoint owner;
     unsigned status = 0;
     std::string body;
-    bool redirected = false; // sent to a second VM already
+    bool named = false; // another VM has named the receiver
+    unsigned redirects = 0; // VMs to which it was sent after the first
 };
 
+// Bounds the time that a request spends on VMs that do not answer.
+constexpr unsigned maxRedirects = 3;
+
+
 exchange_client_options peerOptions(const piece_router_options& options)
 {
     exchange_client_options peers;
@@ -57,9 +62,9 @@
     {
         routed_work& routed = workByTicket.at(ticket);
         locallyCalledPools.insert(routed.work.pool);
+        updateCallLimit(routed.work.pool);
         routed.localTicket = local.submit(routed.spec, routed.work,
             [this, ticket](result<std::vector<piece_result>> outcome) { finish(ticket, std::move(outcome)); });
-        updateCallLimit(routed.work.pool);
     }
 
     void updateCallLimit(const pool_id& pool)
@@ -73,8 +78,9 @@
         routed_work& routed = workByTicket.at(ticket);
         routed.owner = owner;
         ownership->reportRequest(routed.work.pool, owner, bootNow());
+        const bool designated = routed.named || ownership->isSubstitute(routed.work.pool, owner);
         exchange_request request;
-        request.bytes = peerRequest(owner, gatherPath, encodeGatherRequest(routed.work, routed.redirected, bootNow()));
+        request.bytes = peerRequest(owner, gatherPath, encodeGatherRequest(routed.work, designated, bootNow()));
         request.maxIdle = options.idleReuse;
         routed.silenceTimer = loop.after(options.silenceLimit, [this, ticket] { fallBack(ticket, "silent"); });
         auto exchange = peers.start(owner, std::move(request),
@@ -137,17 +143,18 @@
         const auto namedOwner = parseEndpoint(routed.body);
         const bool other
             = ownership->reportNotOwner(routed.work.pool, namedOwner ? std::optional(*namedOwner) : std::nullopt);
-        if (!other || routed.redirected)
+        // At most once: VMs with different views of the owners must not forward a request in a loop.
+        if (!other || routed.named)
             return fallBack(ticket, "declined");
         loop.cancel(routed.silenceTimer);
+        routed.named = true;
         redirectTo(ticket, *namedOwner);
     }
 
-    // Happens at most once per submission: VMs with different views of the owners must not forward it in a loop.
     void redirectTo(piece_ticket ticket, const endpoint& other)
     {
         routed_work& routed = workByTicket.at(ticket);
-        routed.redirected = true;
+        routed.redirects += 1;
         routed.status = 0;
         routed.body.clear();
         metrics.count("gather_fallbacks", "redirected");
@@ -174,7 +181,7 @@
         if (reason != "declined" && now - lastAnswerAt[routed.owner] > options.silenceLimit)
             ownership->reportUnreachable(routed.work.pool, routed.owner, now);
         const auto other = ownership->remoteGatherer(routed.work.pool, now);
-        if (!other || *other == routed.owner || routed.redirected)
+        if (!other || *other == routed.owner || routed.redirects >= maxRedirects)
             return runLocally(ticket);
         redirectTo(ticket, *other);
     }
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 #include <fmt/core.h>
 
@@ -24,7 +25,7 @@
 // Results to be freed at one server.
 struct release_batch {
     pool_id pool;
-    std::vector<std::string> handles;
+    std::vector<piece_result> results;
 };
 
 // A result that occupies storage at its server.
@@ -54,11 +55,11 @@
             trackedResults[handle] = { server, bytes, now + queue.spec().resultLifetime };
         }
 
-        void untrackResult(const std::string& handle)
+        void untrackResult(const backend_id& server, const piece_result& freed)
         {
-            const auto found = trackedResults.find(handle);
+            const auto found = trackedResults.find(freed.handle);
             if (found == trackedResults.end())
-                return;
+                return queue.releaseForeignBytes(server, freed.bytes);
             queue.releaseResultBytes(found->second.server, found->second.bytes);
             trackedResults.erase(found);
         }
@@ -79,6 +80,7 @@
         piece_queue queue;
         std::unordered_map<std::string, tracked_result> trackedResults; // by handle
         event_loop::timer_id recheckTimer = 0;
+        mono_time lastWorkAt {};
     };
 
     struct piece_call : std::enable_shared_from_this<piece_call> {
@@ -102,10 +104,10 @@
 
     pool_state& pool(const pool_id& id, const piece_spec& spec)
     {
-        const auto found = pools.find(id);
-        if (found == pools.end())
-            return pools.emplace(id, pool_state(spec, options.queue)).first->second;
+        const auto [found, added] = pools.try_emplace(id, spec, options.queue);
         found->second.queue.configure(spec);
+        if (added)
+            found->second.queue.limitCalls(callLimits[id]);
         return found->second;
     }
 
@@ -266,12 +268,14 @@
                 continue;
             }
             parts.metrics.count("piece_failures", failureName(outcome.failure));
+            if (outcome.failure == piece_failure::NoCapacity)
+                target.queue.storageExhausted(call.server.id, now + target.queue.spec().resultLifetime);
             if (outcome.failure == piece_failure::Late)
                 fail(ticket, error_code::Expired, "server reported the piece as too late");
             else if (outcome.failure == piece_failure::InputsMissing)
                 fail(ticket, error_code::NotFound, "input no longer exists");
             else
-                retry(ticket, piece, now, true);
+                retry(ticket, piece, now, true, failureName(outcome.failure));
         }
         release(call.pool, orphanedResults);
         for (const piece_ticket ticket : affected)
@@ -313,11 +317,11 @@
             if (found == workByTicket.end())
                 continue;
             found->second.piecesInCalls -= 1;
-            retry(piece.ticket, piece.piece, now, delivered);
+            retry(piece.ticket, piece.piece, now, delivered, cause);
         }
     }
 
-    void retry(piece_ticket ticket, unsigned piece, mono_time now, bool delivered)
+    void retry(piece_ticket ticket, unsigned piece, mono_time now, bool delivered, std::string_view cause)
     {
         const auto found = workByTicket.find(ticket);
         if (found == workByTicket.end())
@@ -326,7 +330,7 @@
         const bool allowed = active.attempts[piece] < options.attempts
             && (!delivered || parts.retryBudget.trySpend(active.work.pool, now));
         if (!allowed)
-            return fail(ticket, error_code::Unavailable, "stage calls failed and no retry is allowed");
+            return fail(ticket, error_code::Unavailable, fmt::format("no retry is allowed after: {}", cause));
         active.waiting.push_back(piece);
         pool_state& target = pools.at(active.work.pool);
         parts.metrics.count("repeats", "stage");
@@ -388,7 +392,7 @@
             }
             release_batch& batch = pendingReleases[*serverAddress];
             batch.pool = pool;
-            batch.handles.push_back(item.handle);
+            batch.results.push_back(item);
         }
         if (pendingReleases.empty() || releaseTimer)
             return;
@@ -409,29 +413,56 @@
             if (!server)
                 continue;
             exchange_request request;
-            request.bytes = parts.adapter.encodeRelease(serverAddress, batch.handles);
+            std::vector<std::string> handles;
+            for (const piece_result& item : batch.results)
+                handles.push_back(item.handle);
+            request.bytes = parts.adapter.encodeRelease(serverAddress, handles);
             request.maxIdle = options.idleReuse;
             parts.backends.start(serverAddress, std::move(request),
-                { .onHead = nullptr, .onBody = nullptr, .onEnd = [this, batch = batch](exchange_outcome end) {
-                     releaseEnded(batch, end);
-                 } });
+                { .onHead = nullptr,
+                    .onBody = nullptr,
+                    .onEnd = [this, batch = batch, id = server->id](exchange_outcome end) {
+                        releaseEnded(id, batch, end);
+                    } });
         }
     }
 
-    void releaseEnded(const release_batch& batch, exchange_outcome end)
+    void releaseEnded(const backend_id& server, const release_batch& batch, exchange_outcome end)
     {
         parts.metrics.count("releases", toString(end));
         const auto target = pools.find(batch.pool);
         if (target == pools.end() || end != exchange_outcome::Complete)
             return;
-        for (const std::string& handle : batch.handles)
-            target->second.untrackResult(handle);
+        for (const piece_result& item : batch.results)
+            target->second.untrackResult(server, item);
         dispatch(batch.pool);
     }
 
+    // Another VM may have gathered for the pool, and its results still occupy the servers.
+    void learnStorage(const pool_id& id, pool_state& target, mono_time now)
+    {
+        if (target.queue.spec().resultCapacity == 0)
+            return;
+        for (const server_entry* server : parts.servers.usable(id)) {
+            target.queue.awaitStorage(server->id, now + options.storageWait);
+            parts.reports.ask(*server, [this, id, server = server->id](report_outcome, const server_report* report) {
+                const auto found = pools.find(id);
+                if (found == pools.end())
+                    return;
+                piece_queue& queue = found->second.queue;
+                if (report && report->freeResultBytes)
+                    queue.storageKnown(server, *report->freeResultBytes, bootNow() + queue.spec().resultLifetime);
+                else
+                    queue.awaitStorage(server, {});
+                dispatch(id);
+            });
+        }
+    }
+
     piece_service_options options;
     piece_service_parts parts;
     std::map<pool_id, pool_state> pools;
+    std::map<pool_id, unsigned> callLimits;
     std::map<piece_ticket, active_work> workByTicket;
     std::map<endpoint, release_batch> pendingReleases; // by the server that stores them
     event_loop::timer_id releaseTimer = 0;
@@ -451,6 +482,10 @@
     const pool_id id = work.pool;
     const mono_time now = bootNow();
     auto& target = m_state->pool(id, spec);
+    // A VM that calls the servers only as a fallback must not ask all of them: all VMs may fall back at once.
+    if (now - target.lastWorkAt > m_state->options.storageStaleAfter && m_state->callLimits[id] == 0)
+        m_state->learnStorage(id, target, now);
+    target.lastWorkAt = now;
     const bool affordable = !work.repeated || m_state->parts.retryBudget.trySpend(id, work.count, now);
     if (!work.repeated)
         m_state->parts.retryBudget.requestArrived(id, now);
@@ -499,10 +534,13 @@
 
 void piece_service::limitCalls(const pool_id& pool, unsigned limit)
 {
+    const unsigned previous = std::exchange(m_state->callLimits[pool], limit);
     const auto found = m_state->pools.find(pool);
-    if (found == m_state->pools.end())
+    if (found == m_state->pools.end() || previous == limit)
         return;
     found->second.queue.limitCalls(limit);
+    if (limit == 0)
+        m_state->learnStorage(pool, found->second, bootNow());
     m_state->dispatch(pool);
 }
 
--- a/balsamspring/gateway/piece_service.h
+++ b/balsamspring/gateway/piece_service.h
@@ -6,6 +6,7 @@
 #include "balsamspring/gateway/gateway_metrics.h"
 #include "balsamspring/gateway/piece_queue.h"
 #include "balsamspring/gateway/repeat_budget.h"
+#include "balsamspring/gateway/server_reports.h"
 #include "balsamspring/gateway/wire_adapter.h"
 #include "balsamspring/net/event_loop.h"
 #include "balsamspring/net/http_exchange.h"
@@ -51,6 +52,11 @@
     unsigned attempts = 3; // maximum calls per piece
     duration releaseDelay = std::chrono::milliseconds(15); // batches the releases of results
     duration idleReuse = std::chrono::seconds(3);
+    // After this time without work for a pool, another VM may have gathered for it, and the result storage of its
+    // servers is asked for.
+    duration storageStaleAfter = std::chrono::seconds(1);
+    // How long calls wait for the answer.
+    duration storageWait = std::chrono::milliseconds(80);
     piece_queue_options queue;
 };
 
@@ -60,6 +66,7 @@
     server_registry& servers;
     retry_budget& retryBudget;
     exchange_client& backends;
+    server_reports& reports;
     gateway_metrics& metrics;
 };
 
--- a/balsamspring/gateway/pool_ownership.cc
+++ b/balsamspring/gateway/pool_ownership.cc
@@ -3,6 +3,8 @@
 #include "balsamspring/base/hash.h"
 #include "balsamspring/base/log.h"
 
+#include <algorithm>
+
 namespace balsamspring {
 
 pool_ownership::pool_ownership(
@@ -103,18 +105,35 @@
     return owner && *owner == m_self;
 }
 
-const endpoint* pool_ownership::backupOf(const pool_id& pool) const
+std::vector<const endpoint*> pool_ownership::gatherersOf(const pool_id& pool) const
 {
-    const endpoint* owner = ownerOf(pool);
-    if (!owner)
-        return nullptr;
+    std::vector<const endpoint*> gatherers;
     const auto partition = static_cast<std::uint32_t>(hash64(pool.value()) % m_options.partitions);
-    for (std::uint32_t step = 1; step < m_options.partitions; ++step) {
+    for (std::uint32_t step = 0; step < m_options.partitions && gatherers.size() < m_options.gatherersPerPool; ++step) {
         const auto found = m_owners.find((partition + step) % m_options.partitions);
-        if (found != m_owners.end() && found->second != *owner)
-            return &found->second;
+        if (step == 0 && found == m_owners.end())
+            return {};
+        if (found == m_owners.end())
+            continue;
+        const bool known = std::any_of(gatherers.begin(), gatherers.end(),
+            [&found](const endpoint* gatherer) { return *gatherer == found->second; });
+        if (!known)
+            gatherers.push_back(&found->second);
     }
-    return nullptr;
+    return gatherers;
+}
+
+const endpoint* pool_ownership::backupOf(const pool_id& pool) const
+{
+    const auto gatherers = gatherersOf(pool);
+    return gatherers.size() < 2 ? nullptr : gatherers[1];
+}
+
+bool pool_ownership::isSubstitute(const pool_id& pool, const endpoint& vm) const
+{
+    const endpoint* owner = ownerOf(pool);
+    const endpoint* backup = backupOf(pool);
+    return !(owner && *owner == vm) && !(backup && *backup == vm);
 }
 
 bool pool_ownership::inBackoff(const pool_id& pool, const endpoint& vm, mono_time now) const
@@ -133,14 +152,13 @@
 
 std::optional<endpoint> pool_ownership::remoteGatherer(const pool_id& pool, mono_time now) const
 {
-    if (isOwner(pool))
-        return std::nullopt;
-    if (auto owner = remoteOwner(pool, now))
-        return owner;
-    const endpoint* backup = backupOf(pool);
-    if (!backup || *backup == m_self || inBackoff(pool, *backup, now))
-        return std::nullopt;
-    return *backup;
+    for (const endpoint* gatherer : gatherersOf(pool)) {
+        if (*gatherer == m_self)
+            return std::nullopt;
+        if (!inBackoff(pool, *gatherer, now))
+            return *gatherer;
+    }
+    return std::nullopt;
 }
 
 void pool_ownership::reportRequest(const pool_id& pool, const endpoint& vm, mono_time now)
--- a/balsamspring/gateway/pool_ownership.h
+++ b/balsamspring/gateway/pool_ownership.h
@@ -3,7 +3,8 @@
 //
 // VMs may disagree about the owner: if two VMs gather for the same pool, they only use its servers less efficiently.
 // While the owner cannot be reached, the owner of the next partition acts as its backup, because the log service takes
-// seconds to reassign the partitions of a dead VM. A VM that can reach neither calls the servers itself.
+// seconds to reassign the partitions of a dead VM. Many VMs may die at the same time, so the owners of the partitions
+// after it substitute for both. A VM that can reach none of them calls the servers itself.
 #pragma once
 
 #include "balsamspring/base/ids.h"
@@ -15,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace balsamspring {
 
@@ -35,6 +37,8 @@
     duration failureRefreshInterval = std::chrono::milliseconds(1000);
     // Time for which a VM that failed receives no requests.
     duration unreachableBackoff = std::chrono::milliseconds(1000);
+    // Number of VMs that may gather for one pool: the owner, its backup and their substitutes.
+    std::size_t gatherersPerPool = 4;
     // Time for which a VM gathers for a pool as a backup after the last request to do so.
     duration backupDuration = std::chrono::milliseconds(1500);
 };
@@ -56,8 +60,11 @@
     bool isOwner(const pool_id& pool) const;
     // The owner, or none if it is this VM, is not known or cannot be reached.
     std::optional<endpoint> remoteOwner(const pool_id& pool, mono_time now) const;
-    // The VM to send pieces to: the owner or its backup. None if it is this VM, or if neither can be reached.
+    // The VM to send pieces to: the owner or, while it cannot be reached, the first reachable one of the VMs that
+    // follow it, so that all VMs choose the same. None if it is this VM, or if none of them can be reached.
     std::optional<endpoint> remoteGatherer(const pool_id& pool, mono_time now) const;
+    // Whether a request to the VM has to say that the owner cannot be reached, because the VM does not expect it.
+    bool isSubstitute(const pool_id& pool, const endpoint& vm) const;
     // Reports that the VM did not answer for the pool. Requests to it for other pools are not affected.
     void reportUnreachable(const pool_id& pool, const endpoint& vm, mono_time now);
     // Reports that a request is about to be sent to the VM. If the VM has failed before, its back-off starts again, so
@@ -84,6 +91,8 @@
     void readOwners(std::uint64_t generation);
     const endpoint* ownerOf(const pool_id& pool) const;
     const endpoint* backupOf(const pool_id& pool) const;
+    // The owner and the owners of the partitions that follow, without repetitions.
+    std::vector<const endpoint*> gatherersOf(const pool_id& pool) const;
     bool inBackoff(const pool_id& pool, const endpoint& vm, mono_time now) const;
 
     ownership_options m_options;
--- a/balsamspring/gateway/pool_ownership_test.cc
+++ b/balsamspring/gateway/pool_ownership_test.cc
@@ -2,6 +2,7 @@
 #include "balsamspring/gateway/pool_ownership.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/core.h>
 
 using namespace balsamspring;
 using namespace std::chrono_literals;
@@ -100,7 +101,7 @@
     CHECK(requester->remoteGatherer(pool, later) == second);
     requester->reportAnswer(pool, first);
     CHECK(requester->remoteGatherer(pool, later) == first);
-    // If neither can be reached, this VM calls the servers itself.
+    // If no VM of the group can be reached, this VM calls the servers itself.
     requester->reportUnreachable(pool, first, later);
     requester->reportUnreachable(pool, second, later);
     CHECK_FALSE(requester->remoteGatherer(pool, later));
@@ -177,3 +178,43 @@
     later();
     CHECK(reads == 3);
 }
+
+TEST_CASE("all VMs choose the same substitute when a pool's owner and its backup die at the same time")
+{
+    // Twelve VMs lost power at once, among them the owner of a pool. Every other VM called the servers itself, and most
+    // calls were refused.
+    record_store store;
+    std::vector<endpoint> vms;
+    for (int i = 1; i <= 6; ++i)
+        vms.push_back({ fmt::format("10.0.0.{}", i), 7000 });
+    store.groupOwners = [&](const auto&, const record_store::reply<std::vector<partition_owner>>& reply) {
+        std::vector<partition_owner> rows;
+        for (std::uint32_t i = 0; i < vms.size(); ++i)
+            rows.push_back({ i, toString(vms[i]) });
+        reply(rows);
+    };
+    const auto makeOwnership = [&](const endpoint& self) {
+        ownership_options options;
+        options.partitions = 6;
+        options.gathers = false;
+        auto ownership = std::make_unique<pool_ownership>(options, self, store,
+            ownership_hooks {
+                .now = [] { return start; },
+                .after = [](duration, const std::function<void()>&) {},
+                .onChanged = [] {},
+            });
+        ownership->start();
+        return ownership;
+    };
+    pool_id pool("p");
+    for (int i = 0; hash64(pool.value()) % 6 != 0; ++i)
+        pool = pool_id("p" + std::to_string(i));
+    for (const endpoint& requester : { endpoint { "10.0.0.5", 7000 }, endpoint { "10.0.0.9", 7000 } }) {
+        const auto ownership = makeOwnership(requester);
+        ownership->reportUnreachable(pool, vms[0], start);
+        ownership->reportUnreachable(pool, vms[1], start);
+        CHECK(ownership->remoteGatherer(pool, start) == vms[2]);
+        CHECK(ownership->isSubstitute(pool, vms[2]));
+        CHECK_FALSE(ownership->isSubstitute(pool, vms[1]));
+    }
+}
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -64,6 +64,8 @@
         return refuse(statusBadRequest, decoded.error().message);
     m_request = std::move(*decoded);
     m_deliveredEvents = eventNumber(m_request.lastEventId);
+    if (m_request.lastEventId)
+        m_events.resumeAfter(*m_request.lastEventId);
     if (!admit())
         return;
     m_writer->onDisconnect([self = shared_from_this()] { self->callerDisconnected(); });
@@ -352,12 +354,12 @@
     const mono_time now = bootNow();
     if (outcome == report_outcome::Unanswered) {
         m_watch.notAnswered(now);
-    } else if (!report) {
+    } else if (!report || !report->eventsByRun) {
         m_watch.answered(std::nullopt, now);
     } else {
         run_status status;
         status.requestsWaiting = report->waiting > 0;
-        if (const auto run = report->eventsByRun.find(m_request.id); run != report->eventsByRun.end())
+        if (const auto run = report->eventsByRun->find(m_request.id); run != report->eventsByRun->end())
             status.events = run->second;
         m_watch.answered(status, now);
     }
@@ -502,6 +504,7 @@
     const auto self = shared_from_this();
     m_context.loop.cancel(m_deadlineTimer);
     m_context.loop.cancel(m_callTimer);
+    m_context.loop.cancel(m_stageTimer);
     if (m_exchange) {
         m_exchange->cancel();
         m_context.quarantine.dropped(m_attempt);
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -34,12 +34,17 @@
     std::size_t relayHighWaterMark = 256 * 1024;
     // Prefill rate and fixed time of an engine call, for the estimate of its duration.
     double prefillTokensPerMs = 40;
+    // An engine that has cached the shared parts of the prompt is preferred to one in the zone of the stage results if
+    // reading these parts takes longer than this, which is more than the results take to cross zones.
+    duration cacheOverZone = std::chrono::milliseconds(25);
     duration engineBaseTime = std::chrono::milliseconds(80);
     // Scheduling slack that a stage leaves for each later stage, as a share of the duration of a full call: a server
     // becomes free after half a call on average.
     double stageSlackFactor = 0.5;
     // Scheduling slack for the engine call: the difference between the 90th percentile and the median of its latency.
     duration engineSlack = std::chrono::milliseconds(100);
+    // A branch of stages starts this much earlier than necessary to end together with the longest one.
+    duration branchMargin = std::chrono::milliseconds(120);
     // Longest idle time of a connection that is reused: for idempotent requests, and for all others.
     duration idleReuse = std::chrono::seconds(2);
     duration unsafeIdleReuse = std::chrono::milliseconds(300);
@@ -63,8 +68,8 @@
         bool released = false;
         // Number of stages that still need the results.
         unsigned pendingConsumers = 0;
-        // Number of later stages on the longest dependency path.
-        unsigned longestPath = 0;
+        mono_time submittedAt {};
+        mono_time doneAt {};
         std::vector<piece_result> results;
     };
 
@@ -78,7 +83,11 @@
     // Stages.
     void prepareStages();
     void submitReadyStages();
-    bool stageIsDue(std::size_t index) const;
+    // Time until the stage should start. A branch whose results would only wait for a longer branch starts later, since
+    // waiting results occupy the storage that limits a pool.
+    duration stageStartDelay(std::size_t index) const;
+    // Expected time until the longest chain of stages that have not ended is done, from its stage `index` on.
+    duration remainingStageTime(std::size_t index) const;
     void submitStage(std::size_t index);
     void stageDone(std::size_t index, result<std::vector<piece_result>> outcome);
     bool isFinalStage(std::size_t index) const;
@@ -93,6 +102,8 @@
     // Expected time from now to the response if all stages run again.
     duration expectedRemakeTime() const;
     std::vector<std::string> finalStageHandles() const;
+    // Time that an engine needs to read the parts of the prompt that other requests share.
+    duration sharedReadTime() const;
     // The availability zone that stores most bytes of the results of these stages. Empty if there are no results.
     zone_id zoneOfResults(const std::vector<std::size_t>& stages) const;
     std::vector<std::size_t> finalStages() const;
@@ -180,6 +191,7 @@
     mono_time m_firstEventAt {};
     event_loop::timer_id m_deadlineTimer = 0;
     event_loop::timer_id m_callTimer = 0;
+    event_loop::timer_id m_stageTimer = 0;
     bool m_done = false;
 };
 
--- a/balsamspring/gateway/request_session_stages.cc
+++ b/balsamspring/gateway/request_session_stages.cc
@@ -23,20 +23,15 @@
                 m_stages[input].pendingConsumers += 1;
         }
     }
-    // The configuration lists the stages in topological order, so a reverse pass sees all dependents of a stage first.
-    for (std::size_t i = m_stages.size(); i > 0; --i) {
-        if (m_request.pieceCounts[i - 1] == 0)
-            continue;
-        for (const std::size_t input : m_route->stages[i - 1].after) {
-            if (input < i - 1)
-                m_stages[input].longestPath = std::max(m_stages[input].longestPath, m_stages[i - 1].longestPath + 1);
-        }
-    }
 }
 
 void request_session::submitReadyStages()
 {
+    // A timer that outlived the stage it waits for would send the request a second time.
+    m_context.loop.cancel(m_stageTimer);
+    m_stageTimer = 0;
     bool allDone = true;
+    std::optional<duration> nextStart;
     for (std::size_t i = 0; i < m_stages.size() && !m_done; ++i) {
         allDone = allDone && m_stages[i].done;
         if (m_stages[i].submitted)
@@ -44,11 +39,55 @@
         const auto& after = m_route->stages[i].after;
         const bool ready = std::all_of(after.begin(), after.end(),
             [&](std::size_t input) { return input < m_stages.size() && m_stages[input].done; });
-        if (ready)
+        if (!ready)
+            continue;
+        const duration delay = stageStartDelay(i);
+        if (delay <= duration::zero())
             submitStage(i);
+        else
+            nextStart = std::min(nextStart.value_or(delay), delay);
+    }
+    if (m_done)
+        return;
+    if (allDone)
+        return send();
+    if (!nextStart)
+        return;
+    m_stageTimer = m_context.loop.after(*nextStart, [self = shared_from_this()] {
+        self->m_stageTimer = 0;
+        if (!self->m_done)
+            self->submitReadyStages();
+    });
+}
+
+duration request_session::remainingStageTime(std::size_t index) const
+{
+    const mono_time now = bootNow();
+    const stage_progress& stage = m_stages[index];
+    duration own {};
+    if (!stage.done) {
+        own = m_context.stageTimes.expected(m_route->stages[index].pool);
+        if (stage.submitted)
+            own = std::max(duration::zero(), own - (now - stage.submittedAt));
+    }
+    duration longest {};
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        const auto& after = m_route->stages[i].after;
+        if (m_request.pieceCounts[i] > 0 && std::find(after.begin(), after.end(), index) != after.end())
+            longest = std::max(longest, remainingStageTime(i));
+    }
+    return own + longest;
+}
+
+duration request_session::stageStartDelay(std::size_t index) const
+{
+    const duration own = remainingStageTime(index);
+    duration longest {};
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        if (m_request.pieceCounts[i] > 0 && !m_stages[i].done)
+            longest = std::max(longest, remainingStageTime(i));
     }
-    if (allDone && !m_done)
-        send();
+    return longest - own - m_options.branchMargin;
 }
 
 void request_session::submitStage(std::size_t index)
@@ -60,6 +99,7 @@
     if (!keyStillValid())
         return;
     m_stages[index].submitted = true;
+    m_stages[index].submittedAt = bootNow();
     piece_work work;
     work.pool = spec.pool;
     work.request = m_request.id;
@@ -77,6 +117,12 @@
     work.targetTime = m_targetTime - after;
     work.requiredSlack = expectedTimeAfterStage(index, m_options.stageSlackFactor) + m_options.engineSlack - after;
     work.deadline = m_deadline - after;
+    // Inputs that have expired cannot be read.
+    for (const std::size_t input : spec.after) {
+        const pool_spec* source = m_config->pool(m_route->stages[input].pool);
+        if (m_request.pieceCounts[input] > 0 && source && source->pieces && source->pieces->resultLifetime > duration::zero())
+            work.deadline = std::min(work.deadline, m_stages[input].doneAt + source->pieces->resultLifetime);
+    }
     work.priority = m_priority;
     work.repeated = m_stagesRepeated;
     m_stages[index].ticket = m_context.pieces.submit(
@@ -94,9 +140,15 @@
             m_context.pieces.release(m_route->stages[index].pool, *outcome);
         return;
     }
-    if (!outcome)
+    if (!outcome) {
+        logLine(log_level::Warn, "stage_failed",
+            { { "id", m_request.id.value() }, { "pool", m_route->stages[index].pool.value() },
+                { "stage", std::to_string(index) }, { "why", outcome.error().message } });
         return giveUp(fmt::format("stage_{}", toString(outcome.error().code)));
+    }
     stage.done = true;
+    stage.doneAt = bootNow();
+    m_context.stageTimes.record(m_route->stages[index].pool, stage.doneAt - stage.submittedAt, stage.doneAt);
     stage.results = std::move(*outcome);
     // The results of an input stage are released once all stages that read them are done.
     for (const std::size_t input : m_route->stages[index].after) {
@@ -238,6 +290,14 @@
     return hash;
 }
 
+duration request_session::sharedReadTime() const
+{
+    std::uint64_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < m_request.prompt.size(); ++i)
+        tokens += m_request.prompt[i].tokens;
+    return fromSeconds(static_cast<double>(tokens) / m_options.prefillTokensPerMs / 1000);
+}
+
 const server_entry* request_session::chooseServer()
 {
     const mono_time now = bootNow();
@@ -249,8 +309,10 @@
         if (m_context.quarantine.mayStart(m_content, server->id, now))
             allowed.push_back(server);
     }
-    if (engine)
-        return m_context.balancer.chooseForPrefix(allowed, m_tried, prefixHash(), zoneOfResults(finalStages()), now);
+    if (engine) {
+        const zone_id zone = sharedReadTime() > m_options.cacheOverZone ? zone_id() : zoneOfResults(finalStages());
+        return m_context.balancer.chooseForPrefix(allowed, m_tried, prefixHash(), zone, now);
+    }
     return m_context.balancer.choose(allowed, m_tried, now);
 }
 
--- a/balsamspring/gateway/server_reports.cc
+++ b/balsamspring/gateway/server_reports.cc
@@ -118,7 +118,9 @@
                                                              : "unanswered");
         logLine(item.outcome == report_outcome::Read ? log_level::Info : log_level::Warn, "server_report",
             { { "server", id.value() }, { "outcome", cause },
-                { "runs", item.report ? std::to_string(item.report->eventsByRun.size()) : "-" },
+                { "runs", item.report && item.report->eventsByRun ? std::to_string(item.report->eventsByRun->size()) : "-" },
+                { "free_bytes",
+                    item.report && item.report->freeResultBytes ? std::to_string(*item.report->freeResultBytes) : "-" },
                 { "waiting", item.report ? std::to_string(item.report->waiting) : "-" } });
         item.body.clear();
         const auto waiting = std::move(item.waiting);
--- a/balsamspring/gateway/wire_adapter.h
+++ b/balsamspring/gateway/wire_adapter.h
@@ -71,12 +71,13 @@
     bool hasSignature = false;
 };
 
-// What a backend server reports about its load and its runs. The values are some hundred milliseconds old.
+// What a backend server reports about its load. The values are some hundred milliseconds old.
 struct server_report {
-    unsigned running = 0;
     unsigned waiting = 0;
-    // Number of events that each run in progress has made.
-    std::map<request_id, std::uint64_t> eventsByRun;
+    // Engines: number of events that each run in progress has made.
+    std::optional<std::map<request_id, std::uint64_t>> eventsByRun;
+    // Servers of a stage's pool: free result storage in bytes.
+    std::optional<std::uint64_t> freeResultBytes;
 };
 
 // One piece of a stage in a call to a server of the stage's pool.
