Share pools between teams; read reported storage as an upper bound; predict throughput from the size of calls

Cause: (1) The gateway knew no team beyond its key: a team that surges filled every queue, and the requests of all others became late. Servers report free storage in whole megabytes, rounded down; pools with less than one megabyte looked full and got no calls for four seconds. The throughput that was measured while groups waited fell with the demand, and refusals lowered it further.

Change: team_shares limits a team that surges, against its own usual traffic and against the other teams, to what the others leave and at least its usual share, at the VM that gathers for a pool and sees its whole demand. Its excess yields like late work and is refused first, with a longer Retry-After and its own reason and counter. Reported storage counts as an upper bound. Throughput comes from the size that calls reach while more than a batch waits.

--- a/balsamspring/base/result.cc
+++ b/balsamspring/base/result.cc
@@ -29,6 +29,8 @@
         return "cancelled";
     case error_code::Internal:
         return "internal";
+    case error_code::QuotaExceeded:
+        return "quota_exceeded";
     }
     return "internal";
 }
--- a/balsamspring/base/result.h
+++ b/balsamspring/base/result.h
@@ -23,6 +23,7 @@
     Corrupt, // data that does not decode
     Cancelled,
     Internal,
+    QuotaExceeded, // certainly had no effect; the team is above its share of a shared capacity
 };
 
 std::string_view toString(error_code code);
--- a/balsamspring/gateway/piece_gatherer.cc
+++ b/balsamspring/gateway/piece_gatherer.cc
@@ -79,6 +79,7 @@
     request.set_redirected(redirected);
     request.set_input_zone(work.inputZone.value());
     request.set_repeated_work(work.repeated);
+    request.set_team(work.team.value());
     return request.SerializeAsString();
 }
 
@@ -147,6 +148,7 @@
     work.priority = decoded.priority();
     work.inputZone = zone_id(decoded.input_zone());
     work.repeated = decoded.repeated_work();
+    work.team = team_id(decoded.team());
 
     // Until now a backup called the servers only as a fallback, one call at a time. Gathering has no such limit.
     if (!m_ownership->isOwner(pool->id))
--- a/balsamspring/gateway/piece_queue.cc
+++ b/balsamspring/gateway/piece_queue.cc
@@ -18,20 +18,21 @@
 piece_queue::piece_queue(piece_spec spec, piece_queue_options options)
     : m_spec(spec)
     , m_options(options)
+    , m_shares(options.shares)
+    , m_callSize(spec.batch)
 {
 }
 
-bool piece_queue::add(const piece_group& group, server_list servers, mono_time now)
+piece_queue::admission piece_queue::add(const piece_group& newGroup, server_list servers, mono_time now)
 {
+    piece_group group = newGroup;
+    group.overShare = !m_shares.admit(group.team, group.count, throughput(servers, now), now);
     if (now + predictedDelay(group.count, servers, group.targetTime, now) > group.deadline)
-        return false;
-    if (!m_backlogSince)
-        m_backlogSince = now;
-    if (hasSlack(group, now))
-        record(m_arrivedPieces, group.count, now);
+        return group.overShare ? admission::OverShare : admission::Rejected;
+    recordArrival(group, now);
     m_groups.push_back(group);
     m_waitingPieces += group.count;
-    return true;
+    return admission::Queued;
 }
 
 void piece_queue::cancel(piece_ticket ticket)
@@ -61,9 +62,9 @@
     return expired;
 }
 
-std::vector<piece_ticket> piece_queue::takeInfeasible(server_list servers, mono_time now)
+std::vector<piece_queue::infeasible_group> piece_queue::takeInfeasible(server_list servers, mono_time now)
 {
-    const double rate = expectedThroughput(servers, now);
+    const double rate = throughput(servers, now);
     if (rate <= 0)
         return {};
     std::vector<std::list<piece_group>::iterator> withoutSlack;
@@ -74,20 +75,21 @@
         else
             withoutSlack.push_back(group);
     }
-    std::stable_sort(withoutSlack.begin(), withoutSlack.end(),
-        [this](const auto& a, const auto& b) { return urgency(*a) < urgency(*b); });
+    std::stable_sort(withoutSlack.begin(), withoutSlack.end(), [this](const auto& a, const auto& b) {
+        return a->overShare != b->overShare ? b->overShare : urgency(*a) < urgency(*b);
+    });
     // New requests have slack and overtake late ones. They are expected to go on arriving at the present rate.
-    const double lateRate = std::max(m_options.minLateShare * rate, rate - rateOf(m_arrivedPieces, now));
+    const double lateRate = std::max(m_options.minLateShare * rate, rate - arrivalRate(now));
     const double waitForPunctual = piecesAhead / rate;
     piecesAhead = 0;
-    std::vector<piece_ticket> infeasible;
+    std::vector<infeasible_group> infeasible;
     for (const auto& group : withoutSlack) {
         const duration call = expectedTime(std::min(group->count, m_spec.batch));
         if (now + fromSeconds(waitForPunctual + piecesAhead / lateRate) + call <= group->deadline) {
             piecesAhead += group->count;
             continue;
         }
-        infeasible.push_back(group->ticket);
+        infeasible.push_back({ group->ticket, group->overShare });
         m_waitingPieces -= group->count;
         m_groups.erase(group);
     }
@@ -96,8 +98,6 @@
 
 std::optional<piece_queue::call> piece_queue::next(server_list servers, mono_time now)
 {
-    if (m_groups.empty())
-        m_backlogSince.reset();
     if (m_groups.empty() || (m_callLimit > 0 && m_callsInProgress >= m_callLimit))
         return std::nullopt;
     std::set<zone_id> zones;
@@ -106,12 +106,15 @@
         if (found == m_servers.end() || now >= found->second.blockedUntil)
             zones.insert(server->zone);
     }
-    const double rate = expectedThroughput(servers, now);
+    const double rate = throughput(servers, now);
     for (const server_entry* server : freeServers(servers, now)) {
         call filled { server->id, {}, 0 };
         fill(filled, *server, zones, rate, now);
         if (filled.pieces == 0) // no storage for a result, or all pieces wait for a server in another zone
             continue;
+        // A call that leaves less than a batch waiting shows no limit.
+        const double reached = m_waitingPieces >= m_spec.batch ? filled.pieces : m_spec.batch;
+        m_callSize += m_options.callSizeWeight * (reached - m_callSize);
         m_servers[server->id].calls += 1;
         m_callsInProgress += 1;
         return filled;
@@ -199,6 +202,8 @@
         const bool bHasSlack = hasSlack(*b, now);
         if (aHasSlack != bHasSlack)
             return aHasSlack;
+        if (a->overShare != b->overShare)
+            return b->overShare;
         if (byPriority && a->priority != b->priority)
             return a->priority < b->priority;
         return isRemote(*a) != isRemote(*b) ? isRemote(*b) : urgency(*a) < urgency(*b);
@@ -236,7 +241,6 @@
     server_state& state = m_servers[server];
     endCall(state);
     state.failures = 0;
-    record(m_servedPieces, pieces, now);
     state.slowdown = std::max(1.0, toSeconds(elapsed) / std::max(0.001, toSeconds(expectedTime(pieces))));
     state.slowdownAt = now;
 }
@@ -312,49 +316,40 @@
         m_servers.erase(found);
 }
 
-// Pieces per second of the whole pool if every call holds a full batch.
-double piece_queue::maxThroughput(server_list servers, mono_time now) const
+double piece_queue::throughput(server_list servers, mono_time now) const
 {
     double rate = 0;
-    const double fullCall = toSeconds(expectedTime(m_spec.batch));
+    const double size = std::min<double>(m_callSize, m_spec.batch);
+    const double call = toSeconds(m_spec.callTime) + toSeconds(m_spec.pieceTime) * size;
     for (const server_entry* server : servers) {
         const auto found = m_servers.find(server->id);
         const double slowness = found == m_servers.end() ? 1 : slowdown(found->second, now);
-        rate += m_spec.slots * m_spec.batch / (fullCall * slowness);
+        rate += m_spec.slots * size / (call * slowness);
     }
     return rate;
 }
 
-double piece_queue::expectedThroughput(server_list servers, mono_time now) const
+void piece_queue::recordArrival(const piece_group& group, mono_time now)
 {
-    const double maximum = maxThroughput(servers, now);
-    if (!m_backlogSince || now - *m_backlogSince < m_options.throughputWindow)
-        return maximum;
-    const double served = rateOf(m_servedPieces, now);
-    // Nothing is known while no call ends, for example after all servers were blocked.
-    return served > 0 ? std::min(maximum, served) : maximum;
-}
-
-void piece_queue::record(piece_history& history, unsigned pieces, mono_time now) const
-{
-    history.emplace_back(now, pieces);
-    while (now - history.front().first > m_options.throughputWindow)
-        history.pop_front();
+    while (!m_arrivedPieces.empty() && now - m_arrivedPieces.front().first > m_options.arrivalWindow)
+        m_arrivedPieces.pop_front();
+    if (hasSlack(group, now))
+        m_arrivedPieces.emplace_back(now, group.count);
 }
 
-double piece_queue::rateOf(const piece_history& history, mono_time now) const
+double piece_queue::arrivalRate(mono_time now) const
 {
     std::size_t pieces = 0;
-    for (const auto& [time, count] : history) {
-        if (now - time <= m_options.throughputWindow)
+    for (const auto& [time, count] : m_arrivedPieces) {
+        if (now - time <= m_options.arrivalWindow)
             pieces += count;
     }
-    return static_cast<double>(pieces) / toSeconds(m_options.throughputWindow);
+    return static_cast<double>(pieces) / toSeconds(m_options.arrivalWindow);
 }
 
 duration piece_queue::predictedDelay(unsigned pieces, server_list servers, mono_time targetTime, mono_time now) const
 {
-    const double rate = expectedThroughput(servers, now);
+    const double rate = throughput(servers, now);
     const double fullCall = toSeconds(expectedTime(m_spec.batch));
     if (rate <= 0)
         return expectedTime(std::min(pieces, m_spec.batch));
@@ -397,6 +392,8 @@
 
 bool piece_queue::hasSlack(const piece_group& group, mono_time now) const
 {
+    if (group.overShare)
+        return false;
     // The call also takes waiting pieces of other groups, up to a full batch, and so takes longer.
     const auto pieces = static_cast<unsigned>(
         std::clamp<std::size_t>(m_waitingPieces, std::min(group.count, m_spec.batch), m_spec.batch));
--- a/balsamspring/gateway/piece_queue.h
+++ b/balsamspring/gateway/piece_queue.h
@@ -9,10 +9,13 @@
 // delay in a later stage then makes it late. Requests that still have slack for the later stages therefore go first. If
 // not all of these can be served in time, the more urgent priorities go before the others. A share of the calls still
 // goes by urgency alone, so that no priority starves.
+//
+// The excess of a team that surges (see team_shares) counts as work without slack.
 #pragma once
 
 #include "balsamspring/gateway/server_registry.h"
 #include "balsamspring/gateway/serving_config.h"
+#include "balsamspring/gateway/team_shares.h"
 
 #include <cstdint>
 #include <deque>
@@ -37,8 +40,10 @@
     duration requiredSlack {}; // slack to leave for delays in the later stages
     mono_time deadline {}; // results after this time are useless
     unsigned priority = 0; // 0 is the most urgent
+    team_id team; // empty: none
     zone_id inputZone; // holds most bytes of the inputs; empty: no preference
     mono_time queuedAt {};
+    bool overShare = false; // set by the queue: its team is above its share
 };
 
 struct piece_queue_options {
@@ -48,8 +53,11 @@
     unsigned callsPerFairCall = 4;
     // Share of the throughput that late work is expected to get while new requests overtake it.
     double minLateShare = 0.25;
-    // The throughput of a pool that had waiting work for this long is known.
-    duration throughputWindow = std::chrono::milliseconds(1500);
+    // Time over which the rate of new work is averaged.
+    duration arrivalWindow = std::chrono::milliseconds(1500);
+    // Weight of the newest call in the moving average of the size of calls.
+    double callSizeWeight = 0.05;
+    team_shares_options shares;
     // A server whose calls take this multiple of their expected time gets work only when the others are not enough.
     double slowFactor = 2;
     duration slownessHalfLife = std::chrono::seconds(2); // decay of a server's measured slowdown
@@ -85,15 +93,21 @@
     // Limits the concurrent calls. 0: limited only by the slots of the servers.
     void limitCalls(unsigned limit) { m_callLimit = limit; }
 
-    // Returns false, without adding the group, if it is predicted to miss its deadline. Its request is to be rejected.
-    bool add(const piece_group& group, server_list servers, mono_time now);
+    // Rejected groups are not added: they are predicted to miss their deadline. OverShare: and their team is above its
+    // share. Their requests are to be rejected.
+    enum class admission : std::uint8_t { Queued, Rejected, OverShare };
+    admission add(const piece_group& group, server_list servers, mono_time now);
     // Removes the waiting pieces of the ticket. Pieces in calls are not affected.
     void cancel(piece_ticket ticket);
     // Removes and returns the groups that would miss their deadline even in a call that starts now.
     std::vector<piece_ticket> takeExpired(mono_time now);
+    struct infeasible_group {
+        piece_ticket ticket = 0;
+        bool overShare = false;
+    };
     // Removes and returns the groups without slack that would miss their deadline even if no more work arrived, so that
     // their requests are rejected now instead of at the deadline. Costs a sort of the groups without slack.
-    std::vector<piece_ticket> takeInfeasible(server_list servers, mono_time now);
+    std::vector<infeasible_group> takeInfeasible(server_list servers, mono_time now);
 
     // Removes the pieces of the next call from the queue if a server is free for waiting work. The caller must send it.
     std::optional<call> next(server_list servers, mono_time now);
@@ -123,6 +137,7 @@
     duration predictedDelay(unsigned pieces, server_list servers, mono_time targetTime, mono_time now) const;
     duration callTimeout(const backend_id& server, unsigned pieces, mono_time now) const;
     std::size_t waitingPieces() const { return m_waitingPieces; }
+    const team_shares& shares() const { return m_shares; }
     std::size_t waitingGroups() const { return m_groups.size(); }
     unsigned callsInProgress() const { return m_callsInProgress; }
 
@@ -142,14 +157,12 @@
     double slowdown(const server_state& server, mono_time now) const;
     std::uint64_t usableBytes() const;
     static std::uint64_t occupiedBytes(const server_state& server, mono_time now);
-    double maxThroughput(server_list servers, mono_time now) const;
-    // Pieces per second that the pool is expected to serve: what it has served while work was waiting, which result
-    // storage or failures may limit.
-    double expectedThroughput(server_list servers, mono_time now) const;
-    using piece_history = std::deque<std::pair<mono_time, unsigned>>;
-    void record(piece_history& history, unsigned pieces, mono_time now) const;
-    // Pieces per second in the throughput window.
-    double rateOf(const piece_history& history, mono_time now) const;
+    // Pieces per second that the pool can serve with calls of the size that it reaches while work is waiting. Result
+    // storage may limit the size.
+    double throughput(server_list servers, mono_time now) const;
+    void recordArrival(const piece_group& group, mono_time now);
+    // Pieces per second of new groups with slack.
+    double arrivalRate(mono_time now) const;
     std::vector<const server_entry*> freeServers(server_list servers, mono_time now) const;
     void fill(call& filled, const server_entry& server, const std::set<zone_id>& zones, double rate, mono_time now);
     bool targetsInReach(std::vector<std::list<piece_group>::iterator>& groups, double rate, mono_time now) const;
@@ -161,15 +174,15 @@
 
     piece_spec m_spec;
     piece_queue_options m_options;
+    team_shares m_shares;
     std::list<piece_group> m_groups; // in order of arrival
     std::map<backend_id, server_state> m_servers;
     std::size_t m_waitingPieces = 0;
     unsigned m_callsInProgress = 0;
     unsigned m_callLimit = 0; // 0: none
     unsigned m_priorityCalls = 0; // consecutive calls that were filled by priority
-    std::optional<mono_time> m_backlogSince; // none: no work is waiting
-    piece_history m_servedPieces;
-    piece_history m_arrivedPieces; // of groups with slack
+    double m_callSize; // pieces in a call while more than a batch is waiting, moving average
+    std::deque<std::pair<mono_time, unsigned>> m_arrivedPieces; // of groups with slack
 };
 
 } // namespace balsamspring
--- a/balsamspring/gateway/piece_queue_test.cc
+++ b/balsamspring/gateway/piece_queue_test.cc
@@ -113,7 +113,8 @@
             now = nextArrival;
             nextArrival += fromSeconds(exponential(random, 1 / options.requestsPerSecond));
             ticket += 1;
-            if (queue.add(makeGroup(ticket, options.pieces, now + options.target, now + options.deadline), list, now))
+            if (queue.add(makeGroup(ticket, options.pieces, now + options.target, now + options.deadline), list, now)
+                == piece_queue::admission::Queued)
                 pending[ticket] = { now + options.target, options.pieces };
             else
                 outcome.rejected += 1;
@@ -174,7 +175,7 @@
             = makeGroup(groupTicket, pieces, stage == 0 ? targetTime - fullCall : targetTime, targetTime + 3s);
         group.requiredSlack = stage == 0 ? requiredSlack : 0ms;
         group.queuedAt = now;
-        if (stages[stage].add(group, lists[stage], now)) {
+        if (stages[stage].add(group, lists[stage], now) == piece_queue::admission::Queued) {
             pending[groupTicket] = { targetTime, pieces };
             return;
         }
@@ -269,8 +270,9 @@
     piece_queue queue(makeSpec(), {});
     const auto servers = makeServers(1);
     const auto list = pointers(servers);
-    REQUIRE(queue.add(makeGroup(1, 28, start - 1s, start + 10s), list, start)); // already past its target
-    REQUIRE(queue.add(makeGroup(2, 28, start + 1s, start + 10s), list, start));
+    REQUIRE(queue.add(makeGroup(1, 28, start - 1s, start + 10s), list, start)
+        == piece_queue::admission::Queued); // already past its target
+    REQUIRE(queue.add(makeGroup(2, 28, start + 1s, start + 10s), list, start) == piece_queue::admission::Queued);
     const auto call = queue.next(list, start);
     REQUIRE(call);
     CHECK(call->parts.at(0).ticket == 2);
@@ -281,9 +283,9 @@
     piece_queue queue(makeSpec(), {});
     const auto servers = makeServers(1);
     const auto list = pointers(servers);
-    CHECK_FALSE(queue.add(makeGroup(1, 1, start, start + 100ms), list, start));
+    CHECK(queue.add(makeGroup(1, 1, start, start + 100ms), list, start) == piece_queue::admission::Rejected);
     piece_ticket ticket = 10;
-    while (queue.add(makeGroup(ticket, 28, start + 2s, start + 2s), list, start))
+    while (queue.add(makeGroup(ticket, 28, start + 2s, start + 2s), list, start) == piece_queue::admission::Queued)
         ticket += 1;
     // At 279 ms per call, seven calls fit into two seconds.
     CHECK(ticket - 10 <= 7);
@@ -294,7 +296,7 @@
     piece_queue queue(makeSpec(), {});
     const auto servers = makeServers(1);
     const auto list = pointers(servers);
-    REQUIRE(queue.add(makeGroup(1, 8, start + 1s, start + 1s), list, start));
+    REQUIRE(queue.add(makeGroup(1, 8, start + 1s, start + 1s), list, start) == piece_queue::admission::Queued);
     CHECK(queue.takeExpired(start + 500ms).empty());
     CHECK(queue.takeExpired(start + 900ms) == std::vector<piece_ticket> { 1 });
     CHECK(queue.waitingPieces() == 0);
@@ -310,13 +312,15 @@
     for (piece_ticket ticket = 1; ticket <= 10; ++ticket) {
         // Each group fills a call of 279 ms.
         piece_group group = makeGroup(ticket, 28, start + 10ms * ticket, start + 5s);
-        REQUIRE(queue.add(group, list, start));
+        REQUIRE(queue.add(group, list, start) == piece_queue::admission::Queued);
     }
     const piece_group punctualGroup = makeGroup(11, 28, start + 4s, start + 5s);
-    REQUIRE(queue.add(punctualGroup, list, start));
+    REQUIRE(queue.add(punctualGroup, list, start) == piece_queue::admission::Queued);
     CHECK(queue.takeInfeasible(list, start).empty());
     // 1.6 s before the deadline there is time for five calls, one of them for the request that can meet its target.
-    const auto infeasible = queue.takeInfeasible(list, start + 3400ms);
+    std::vector<piece_ticket> infeasible;
+    for (const auto& item : queue.takeInfeasible(list, start + 3400ms))
+        infeasible.push_back(item.ticket);
     CHECK(infeasible == std::vector<piece_ticket> { 5, 6, 7, 8, 9, 10 });
     CHECK(queue.waitingPieces() == 140);
     CHECK(queue.takeExpired(start + 3400ms).empty());
@@ -332,7 +336,7 @@
     for (piece_ticket ticket = 1; ticket <= 3; ++ticket) {
         piece_group group = makeGroup(ticket, 8, start + 2s, start + 4s);
         group.resultBytes = 50'000;
-        REQUIRE(queue.add(group, list, start));
+        REQUIRE(queue.add(group, list, start) == piece_queue::admission::Queued);
     }
     const auto call = queue.next(list, start);
     REQUIRE(call);
@@ -350,10 +354,10 @@
     const auto servers = makeServers(2);
     const auto list = pointers(servers);
     piece_group group = makeGroup(1, 8, start + 1s, start + 4s);
-    REQUIRE(queue.add(makeGroup(9, 28, start + 1s, start + 4s), list, start));
+    REQUIRE(queue.add(makeGroup(9, 28, start + 1s, start + 4s), list, start) == piece_queue::admission::Queued);
     REQUIRE(queue.next(list, start)); // occupies the server of the first zone
     group.inputZone = zone_id("z1");
-    REQUIRE(queue.add(group, list, start));
+    REQUIRE(queue.add(group, list, start) == piece_queue::admission::Queued);
     CHECK_FALSE(queue.next(list, start));
     const auto call = queue.next(list, start + 40ms);
     REQUIRE(call);
@@ -365,8 +369,9 @@
     piece_queue queue(makeSpec(), {});
     const auto servers = makeServers(1);
     const auto list = pointers(servers);
-    REQUIRE(queue.add(makeGroup(1, 40, start + 1s, start + 4s), list, start));
-    REQUIRE(queue.add(makeGroup(1, 1, start + 1s, start + 4s), list, start)); // retry of a piece
+    REQUIRE(queue.add(makeGroup(1, 40, start + 1s, start + 4s), list, start) == piece_queue::admission::Queued);
+    REQUIRE(queue.add(makeGroup(1, 1, start + 1s, start + 4s), list, start)
+        == piece_queue::admission::Queued); // retry of a piece
     queue.cancel(1);
     CHECK(queue.waitingPieces() == 0);
     CHECK_FALSE(queue.next(list, start));
@@ -379,7 +384,8 @@
     const auto list = pointers(servers);
     queue.limitCalls(1); // as piece_router does on a VM that does not gather for the pool
     for (piece_ticket ticket = 1; ticket <= 5; ++ticket)
-        REQUIRE(queue.add(makeGroup(ticket, 28, start + 2s, start + 4s), list, start));
+        REQUIRE(
+            queue.add(makeGroup(ticket, 28, start + 2s, start + 4s), list, start) == piece_queue::admission::Queued);
     CHECK(queue.next(list, start));
     CHECK_FALSE(queue.next(list, start));
 }
@@ -480,8 +486,8 @@
         }
         for (const piece_ticket ticket : queue.takeExpired(now))
             outcome.waits.push_back(now - groups.at(ticket).queuedAt);
-        for (const piece_ticket ticket : queue.takeInfeasible(list, now))
-            outcome.waits.push_back(now - groups.at(ticket).queuedAt);
+        for (const auto& item : queue.takeInfeasible(list, now))
+            outcome.waits.push_back(now - groups.at(item.ticket).queuedAt);
         while (const auto call = queue.next(list, now))
             running.push_back({ now + spec.callTime + spec.pieceTime * call->pieces, *call });
     }
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -120,6 +120,7 @@
             .requiredSlack = active.work.requiredSlack,
             .deadline = active.work.deadline,
             .priority = active.work.priority,
+            .team = active.work.team,
             .inputZone = active.work.inputZone,
             .queuedAt = bootNow() };
     }
@@ -152,9 +153,8 @@
             found->second.recheckTimer = 0;
             const mono_time now = bootNow();
             found->second.expireResults(now);
-            for (const piece_ticket ticket : found->second.queue.takeInfeasible(parts.servers.usable(id), now)) {
-                parts.loop.post(
-                    [this, ticket] { fail(ticket, error_code::Refused, "no capacity before the deadline"); });
+            for (const auto& [ticket, overShare] : found->second.queue.takeInfeasible(parts.servers.usable(id), now)) {
+                parts.loop.post([this, ticket = ticket, overShare = overShare] { refuse(ticket, overShare); });
             }
             dispatch(id);
         });
@@ -268,8 +268,9 @@
                 continue;
             }
             parts.metrics.count("piece_failures", failureName(outcome.failure));
+            // The results that occupy the storage are of any age, so that half of them expire within half a lifetime.
             if (outcome.failure == piece_failure::NoCapacity)
-                target.queue.storageExhausted(call.server.id, now + target.queue.spec().resultLifetime);
+                target.queue.storageExhausted(call.server.id, now + target.queue.spec().resultLifetime / 2);
             if (outcome.failure == piece_failure::Late)
                 fail(ticket, error_code::Expired, "server reported the piece as too late");
             else if (outcome.failure == piece_failure::InputsMissing)
@@ -334,7 +335,8 @@
         active.waiting.push_back(piece);
         pool_state& target = pools.at(active.work.pool);
         parts.metrics.count("repeats", "stage");
-        if (!target.queue.add(groupOf(ticket, active, 1), parts.servers.usable(active.work.pool), now))
+        const auto outcome = target.queue.add(groupOf(ticket, active, 1), parts.servers.usable(active.work.pool), now);
+        if (outcome != piece_queue::admission::Queued)
             fail(ticket, error_code::Expired, "no capacity left before the deadline");
     }
 
@@ -364,6 +366,24 @@
         callback(makeError(code, reason));
     }
 
+    // No call can complete the work before its deadline.
+    void refuse(piece_ticket ticket, bool overShare)
+    {
+        const auto found = workByTicket.find(ticket);
+        if (found == workByTicket.end())
+            return;
+        if (!overShare)
+            return fail(ticket, error_code::Refused, "no capacity before the deadline");
+        const piece_work& work = found->second.work;
+        const team_shares& shares = pools.at(work.pool).queue.shares();
+        parts.metrics.count("over_share", "refused");
+        logLine(log_level::Info, "team_over_share",
+            { { "id", work.request.value() }, { "team", work.team.value() }, { "pool", work.pool.value() },
+                { "demand_per_s", fmt::format("{:.0f}", shares.demand(work.team, bootNow())) },
+                { "allowance_per_s", fmt::format("{:.0f}", shares.allowance(work.team)) } });
+        fail(ticket, error_code::QuotaExceeded, "the team is above its share of the pool");
+    }
+
     void removeWork(piece_ticket ticket)
     {
         const auto found = workByTicket.find(ticket);
@@ -450,8 +470,8 @@
                 if (found == pools.end())
                     return;
                 piece_queue& queue = found->second.queue;
-                if (report && report->freeResultBytes)
-                    queue.storageKnown(server, *report->freeResultBytes, bootNow() + queue.spec().resultLifetime);
+                if (report && report->maxFreeResultBytes)
+                    queue.storageKnown(server, *report->maxFreeResultBytes, bootNow() + queue.spec().resultLifetime);
                 else
                     queue.awaitStorage(server, {});
                 dispatch(id);
@@ -504,10 +524,11 @@
         });
         return ticket;
     }
-    if (!target.queue.add(m_state->groupOf(ticket, added->second, count), m_state->parts.servers.usable(id), now)) {
-        m_state->parts.loop.post([state = m_state.get(), ticket] {
-            state->fail(ticket, error_code::Refused, "no capacity before the deadline");
-        });
+    const auto outcome
+        = target.queue.add(m_state->groupOf(ticket, added->second, count), m_state->parts.servers.usable(id), now);
+    if (outcome != piece_queue::admission::Queued) {
+        const bool overShare = outcome == piece_queue::admission::OverShare;
+        m_state->parts.loop.post([state = m_state.get(), ticket, overShare] { state->refuse(ticket, overShare); });
         return ticket;
     }
     // Deferred so that calls are filled only after all work of this iteration of the event loop has been queued.
--- a/balsamspring/gateway/piece_service.h
+++ b/balsamspring/gateway/piece_service.h
@@ -33,6 +33,7 @@
     duration requiredSlack {};
     mono_time deadline {};
     unsigned priority = 0;
+    team_id team; // empty: none
     bool repeated = false; // the pieces were made before, so that these calls use the retry budget
 };
 
@@ -43,9 +44,9 @@
     std::uint64_t bytes = 0;
 };
 
-// Results in the order of the pieces. Errors: `Refused` (no capacity before the deadline), `Expired` (the deadline
-// would be missed by a waiting, retried or running piece), `NotFound` (an input no longer exists), `Unavailable` (calls
-// failed and no further retry is allowed).
+// Results in the order of the pieces. Errors: `Refused` (no capacity before the deadline), `QuotaExceeded` (the same,
+// and the team is above its share of the pool), `Expired` (the deadline would be missed by a waiting, retried or
+// running piece), `NotFound` (an input no longer exists), `Unavailable` (calls failed and no further retry is allowed).
 using piece_callback = std::function<void(result<std::vector<piece_result>>)>;
 
 struct piece_service_options {
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -492,7 +492,8 @@
 duration request_session::retryAfter()
 {
     const double range = toSeconds(m_options.maxRetryAfter - m_options.minRetryAfter);
-    return m_options.minRetryAfter + fromSeconds(range * uniform(m_context.random));
+    const duration after = m_options.minRetryAfter + fromSeconds(range * uniform(m_context.random));
+    return m_overShare ? fromSeconds(toSeconds(after) * m_options.overShareRetryFactor) : after;
 }
 
 void request_session::finish(std::string_view outcome, std::string_view reason)
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -28,6 +28,8 @@
     // Range of the Retry-After value of a refusal.
     duration minRetryAfter = std::chrono::milliseconds(150);
     duration maxRetryAfter = std::chrono::milliseconds(900);
+    // Factor for teams above their share, whose surge may last longer than a burst of all.
+    double overShareRetryFactor = 2;
     // Longer response bodies are relayed while they arrive. Their calls can then no longer be retried.
     std::size_t maxBufferedBytes = 256 * 1024;
     // Reading from the server pauses while more bytes than this wait to be written to the caller.
@@ -189,6 +191,8 @@
     bool m_firstEventSeen = false;
     // The current server has sent an event.
     bool m_serverBegan = false;
+    // The request is refused because its team is above its share.
+    bool m_overShare = false;
     // The stages run for the second time or later.
     bool m_stagesRepeated = false;
     mono_time m_firstEventAt {};
--- a/balsamspring/gateway/request_session_stages.cc
+++ b/balsamspring/gateway/request_session_stages.cc
@@ -127,6 +127,7 @@
             work.deadline = std::min(work.deadline, m_stages[input].doneAt + source->pieces->resultLifetime);
     }
     work.priority = m_priority;
+    work.team = m_team.value_or(team_id());
     work.repeated = m_stagesRepeated;
     m_stages[index].ticket = m_context.pieces.submit(
         *pool->pieces, std::move(work), [self = shared_from_this(), index](result<std::vector<piece_result>> outcome) {
@@ -147,6 +148,7 @@
         logLine(log_level::Warn, "stage_failed",
             { { "id", m_request.id.value() }, { "pool", m_route->stages[index].pool.value() },
                 { "stage", std::to_string(index) }, { "why", outcome.error().message } });
+        m_overShare = outcome.error().code == error_code::QuotaExceeded;
         return giveUp(fmt::format("stage_{}", toString(outcome.error().code)));
     }
     stage.done = true;
--- a/balsamspring/gateway/server_reports.cc
+++ b/balsamspring/gateway/server_reports.cc
@@ -123,7 +123,8 @@
                 { "runs",
                     item.report && item.report->eventsByRun ? std::to_string(item.report->eventsByRun->size()) : "-" },
                 { "free_bytes",
-                    item.report && item.report->freeResultBytes ? std::to_string(*item.report->freeResultBytes) : "-" },
+                    item.report && item.report->maxFreeResultBytes ? std::to_string(*item.report->maxFreeResultBytes)
+                                                                   : "-" },
                 { "waiting", item.report ? std::to_string(item.report->waiting) : "-" } });
         item.body.clear();
         const auto waiting = std::move(item.waiting);
--- a/balsamspring/gateway/wire_adapter.h
+++ b/balsamspring/gateway/wire_adapter.h
@@ -76,8 +76,8 @@
     unsigned waiting = 0;
     // Engines: number of events that each run in progress has made.
     std::optional<std::map<request_id, std::uint64_t>> eventsByRun;
-    // Servers of a stage's pool: free result storage in bytes.
-    std::optional<std::uint64_t> freeResultBytes;
+    // Servers of a stage's pool: upper bound of the free result storage in bytes.
+    std::optional<std::uint64_t> maxFreeResultBytes;
 };
 
 // One piece of a stage in a call to a server of the stage's pool.
