Limit only teams that cause the excess, and mark their waiting work when they become limited

Change: a team is limited only if it causes a tenth of the demand above the capacity. When it becomes limited, its waiting work beyond its share is marked. A twentieth of the capacity is not given away.

--- a/balsamspring/gateway/piece_queue.cc
+++ b/balsamspring/gateway/piece_queue.cc
@@ -27,6 +27,7 @@
 {
     piece_group group = newGroup;
     group.overShare = !m_shares.admit(group.team, group.count, throughput(servers, now), now);
+    markExcess();
     if (now + predictedDelay(group.count, servers, group.targetTime, now) > group.deadline)
         return group.overShare ? admission::OverShare : admission::Rejected;
     recordArrival(group, now);
@@ -329,6 +330,20 @@
     return rate;
 }
 
+void piece_queue::markExcess()
+{
+    std::map<team_id, double> limited = m_shares.takeNewlyLimited();
+    if (limited.empty())
+        return;
+    for (piece_group& group : m_groups) {
+        const auto found = limited.find(group.team);
+        if (found == limited.end())
+            continue;
+        group.overShare = group.overShare || group.count > found->second;
+        found->second -= group.count;
+    }
+}
+
 void piece_queue::recordArrival(const piece_group& group, mono_time now)
 {
     while (!m_arrivedPieces.empty() && now - m_arrivedPieces.front().first > m_options.arrivalWindow)
--- a/balsamspring/gateway/piece_queue.h
+++ b/balsamspring/gateway/piece_queue.h
@@ -160,6 +160,8 @@
     // Pieces per second that the pool can serve with calls of the size that it reaches while work is waiting. Result
     // storage may limit the size.
     double throughput(server_list servers, mono_time now) const;
+    // Marks the waiting work of teams that have become limited, beyond their share.
+    void markExcess();
     void recordArrival(const piece_group& group, mono_time now);
     // Pieces per second of new groups with slack.
     double arrivalRate(mono_time now) const;
--- a/balsamspring/gateway/team_shares.cc
+++ b/balsamspring/gateway/team_shares.cc
@@ -54,6 +54,7 @@
 void team_shares::refresh(double capacity, mono_time now)
 {
     struct active_team {
+        const team_id* id;
         team_state* state;
         double demand;
         double weight;
@@ -67,7 +68,7 @@
     double totalDemand = 0;
     double totalUsual = 0;
     for (auto& [id, state] : m_teams) {
-        active.push_back({ &state, decayedDemand(state, now), decayedUsual(state) });
+        active.push_back({ &id, &state, decayedDemand(state, now), decayedUsual(state) });
         totalDemand += active.back().demand;
         totalUsual += active.back().weight;
     }
@@ -79,25 +80,27 @@
         active.begin(), active.end(), [](const active_team& a, const active_team& b) { return a.ratio() < b.ratio(); });
     const double surgeRatio = m_options.surgeFactor * active[active.size() / 2].ratio();
     // Water-filling: each team gets its demand, or a level in proportion to its weight that exhausts the capacity.
-    double remaining = capacity;
+    double remaining = m_options.usableCapacity * capacity;
     double remainingWeight = 0;
     for (const active_team& team : active)
         remainingWeight += team.weight;
     for (const active_team& team : active) {
         const double level = remaining / remainingWeight;
-        const bool limited = m_congested && team.ratio() > level && team.ratio() > surgeRatio;
+        const double excess = team.demand - std::max(level, surgeRatio) * team.weight;
+        const bool limited = m_congested && excess > m_options.minExcessShare * (totalDemand - capacity);
         remaining = std::max(0.0, remaining - std::min(team.demand, std::max(level, 0.0) * team.weight));
         remainingWeight -= team.weight;
         if (!limited) {
             team.state->allowance = std::numeric_limits<double>::infinity();
             continue;
         }
-        if (std::isinf(team.state->allowance)) {
-            team.state->refilledAt = now;
-            team.state->allowance = level * team.weight;
-            team.state->tokens = burstOf(*team.state);
-        }
+        const bool newlyLimited = std::isinf(team.state->allowance);
         team.state->allowance = level * team.weight;
+        if (!newlyLimited)
+            continue;
+        team.state->refilledAt = now;
+        team.state->tokens = 0;
+        m_newlyLimited[*team.id] = burstOf(*team.state);
     }
 }
 
--- a/balsamspring/gateway/team_shares.h
+++ b/balsamspring/gateway/team_shares.h
@@ -17,6 +17,7 @@
 
 #include <limits>
 #include <map>
+#include <utility>
 
 namespace balsamspring {
 
@@ -27,6 +28,11 @@
     duration usualWindow = std::chrono::seconds(120);
     // A team surges if its demand, relative to its usual demand, exceeds that of the median team by this factor.
     double surgeFactor = 1.5;
+    // A team is limited only if it causes at least this share of the demand above the capacity. The traffic of a small
+    // team exceeds its usual by chance.
+    double minExcessShare = 0.1;
+    // Share of the capacity that is given away. The rest keeps the queue short when traffic varies by chance.
+    double usableCapacity = 0.95;
     // The usual demand of a team counts as at least this share of the mean of all teams, so that a new team is served.
     double minWeightShare = 0.25;
     // Work that a surging team may submit at once: its share of this time, but at least `minBurst`.
@@ -46,6 +52,10 @@
     // amount that the pool serves in a second.
     bool admit(const team_id& team, double amount, double capacity, mono_time now);
 
+    // The teams that have become limited since the last call, with the amount of their waiting work that is within their
+    // share. A surge is noticed only after its first work has been admitted.
+    std::map<team_id, double> takeNewlyLimited() { return std::exchange(m_newlyLimited, {}); }
+
     // Amount per second that the team may submit. Infinite if it is not limited.
     double allowance(const team_id& team) const;
     // Current demand of the team, amount per second.
@@ -74,6 +84,7 @@
     // Time that counts for the usual demand.
     duration m_usualClock {};
     bool m_congested = false;
+    std::map<team_id, double> m_newlyLimited;
 };
 
 } // namespace balsamspring
