Bound bytes without end, and recognise a second copy of a stage response

Chunk extensions and trailers were collected without a limit, an event that never ends too, the body of a refusal up to 64 MB, and the response to a piece call up to 64 MB, each on a VM of 160 MB. Calls of pieces name no request, so that a late second copy of an earlier response on a reused connection gave the results of one request to another.

Change: whatever the parser cannot consume is limited by the size of a head. Interim responses and responses to other requests are skipped up to a number and size. An event, a response that is not relayed and the response to a piece call have limits; beyond them the call has failed and its connection is closed. A piece response whose handles were seen before is a copy: its call has failed, and what arrives later on that connection closes it.

--- a/balsamspring/gateway/event_splitter.cc
+++ b/balsamspring/gateway/event_splitter.cc
@@ -55,13 +55,16 @@
     std::vector<stream_event> events;
     m_pending += bytes;
     std::size_t begin = 0;
-    for (auto end = endOfEvent(m_pending, 0); end != std::string::npos; end = endOfEvent(m_pending, begin)) {
+    for (auto end = endOfEvent(m_pending, m_searched); end != std::string::npos; end = endOfEvent(m_pending, begin)) {
         std::string event = m_pending.substr(begin, end - begin);
         std::optional<std::string> id = parseId(event);
         events.push_back({ std::move(event), std::move(id) });
         begin = end;
     }
     m_pending.erase(0, begin);
+    // The line ends of an event may be split between two reads.
+    constexpr std::size_t maxSeparator = 4;
+    m_searched = m_pending.size() < maxSeparator ? 0 : m_pending.size() - maxSeparator + 1;
     return events;
 }
 
--- a/balsamspring/gateway/event_splitter.h
+++ b/balsamspring/gateway/event_splitter.h
@@ -22,9 +22,12 @@
     std::vector<stream_event> feed(std::string_view bytes);
     // Whether the buffer holds the beginning of an incomplete event.
     bool hasPartialEvent() const { return !m_pending.empty(); }
+    // Size of the incomplete event in bytes.
+    std::size_t partialBytes() const { return m_pending.size(); }
 
 private:
     std::string m_pending;
+    std::size_t m_searched = 0; // no event ends before this position
 };
 
 enum class event_order : std::uint8_t {
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -1,10 +1,13 @@
 #include "balsamspring/gateway/piece_service.h"
 
+#include "balsamspring/base/hash.h"
 #include "balsamspring/base/log.h"
 
 #include <algorithm>
+#include <deque>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include <fmt/core.h>
@@ -35,6 +38,29 @@
     mono_time expiresAt {};
 };
 
+// Remembers the latest strings by their hashes.
+class recent_set {
+public:
+    // Returns false if the string is already known.
+    bool insert(const std::string& value)
+    {
+        const std::uint64_t hash = hash64(value);
+        if (!m_known.insert(hash).second)
+            return false;
+        m_order.push_back(hash);
+        if (m_order.size() > maxSize) {
+            m_known.erase(m_order.front());
+            m_order.pop_front();
+        }
+        return true;
+    }
+
+private:
+    static constexpr std::size_t maxSize = 16 * 1024;
+    std::unordered_set<std::uint64_t> m_known;
+    std::deque<std::uint64_t> m_order; // oldest first
+};
+
 struct sent_piece {
     piece_ticket ticket;
     unsigned piece;
@@ -79,6 +105,7 @@
 
         piece_queue queue;
         std::unordered_map<std::string, tracked_result> trackedResults; // by handle
+        recent_set handles; // of the latest responses
         event_loop::timer_id recheckTimer = 0;
         mono_time lastWorkAt {};
     };
@@ -194,7 +221,12 @@
         parts.metrics.count("stage_calls", "sent");
         call->exchange = parts.backends.start(server->address, std::move(request),
             { .onHead = [this, call](const http_head& head) { call->answer = parts.adapter.decodeResponse(head); },
-                .onBody = [call](std::string_view bytes) { call->body += bytes; },
+                .onBody =
+                    [this, call](std::string_view bytes) {
+                        call->body += bytes;
+                        if (call->body.size() > options.maxResponseBytes)
+                            finish(*call, exchange_outcome::Malformed, "endless_answer");
+                    },
                 .onEnd =
                     [this, call](exchange_outcome end) {
                         finish(*call, end, toString(end));
@@ -225,12 +257,15 @@
         target.queue.releaseResultBytes(call.server.id, call.reserved);
         constexpr unsigned okStatus = 200;
         if (end == exchange_outcome::Complete && call.answer.status == okStatus) {
-            if (auto outcomes = parts.adapter.decodePieceResponse(call.body);
-                outcomes && outcomes->size() == call.pieces.size()) {
+            auto outcomes = parts.adapter.decodePieceResponse(call.body);
+            if (outcomes && repeatsHandle(target, *outcomes)) {
+                cause = "repeated_answer";
+            } else if (outcomes && outcomes->size() == call.pieces.size()) {
                 handleOutcomes(call, target, *outcomes, now);
                 return dispatch(call.pool);
+            } else {
+                cause = "unreadable";
             }
-            cause = "unreadable";
         } else if (end == exchange_outcome::Complete) {
             cause = call.answer.notRun ? "rejected" : "error";
         }
@@ -238,6 +273,15 @@
         dispatch(call.pool);
     }
 
+    // A server may send a second copy of an earlier response, late, on a connection that is in use again. Responses to
+    // these calls do not name their request, but each result has a handle of its own.
+    static bool repeatsHandle(pool_state& target, const std::vector<piece_outcome>& outcomes)
+    {
+        return std::any_of(outcomes.begin(), outcomes.end(), [&target](const piece_outcome& outcome) {
+            return outcome.handle && !target.handles.insert(*outcome.handle);
+        });
+    }
+
     void handleOutcomes(piece_call& call, pool_state& target, const std::vector<piece_outcome>& outcomes, mono_time now)
     {
         const auto count = static_cast<unsigned>(call.pieces.size());
--- a/balsamspring/gateway/piece_service.h
+++ b/balsamspring/gateway/piece_service.h
@@ -53,6 +53,8 @@
     unsigned attempts = 3; // maximum calls per piece
     duration releaseDelay = std::chrono::milliseconds(15); // batches the releases of results
     duration idleReuse = std::chrono::seconds(3);
+    // The response to the largest call is much shorter.
+    std::size_t maxResponseBytes = 1024 * 1024;
     // After this time without work for a pool, another VM may have gathered for it, and the result storage of its
     // servers is asked for.
     duration storageStaleAfter = std::chrono::seconds(1);
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -143,8 +143,13 @@
     m_responseBody += bytes;
     // A response that exceeds the buffer is relayed while it arrives. The call can then no longer be retried.
     const bool final = m_response.hasSignature && !m_response.notRun && !signalsNotRun(m_response.status);
-    if (m_responseBody.size() <= m_options.maxBufferedBytes || !final || m_firstEventSeen)
+    if (m_responseBody.size() <= m_options.maxBufferedBytes)
         return;
+    // A refusal or an invalid response may have an endless body, which is not kept.
+    if (!final || m_firstEventSeen) {
+        m_context.quarantine.dropped(m_attempt);
+        return callFailed(call_failure::Lost, "endless_answer");
+    }
     beginResponse();
     m_writer->write(m_responseBody);
     m_responseBody.clear();
@@ -175,6 +180,10 @@
         m_deliveredEvents = std::max(m_deliveredEvents + 1, eventNumber(event.id));
         m_watch.eventArrived(m_deliveredEvents, now);
     }
+    if (m_splitter.partialBytes() > m_options.maxEventBytes) {
+        m_context.quarantine.dropped(m_attempt);
+        return callFailed(call_failure::Lost, "endless_event");
+    }
     m_watch.bytesArrived(bytes.size(), now);
     applyBackpressure();
     if (!m_callTimer && m_route->idempotent())
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -32,6 +32,8 @@
     double overShareRetryFactor = 2;
     // Longer response bodies are relayed while they arrive. Their calls can then no longer be retried.
     std::size_t maxBufferedBytes = 256 * 1024;
+    // An event of a stream that is longer than this is not a valid one.
+    std::size_t maxEventBytes = 1024 * 1024;
     // Reading from the server pauses while more bytes than this wait to be written to the caller.
     std::size_t relayHighWaterMark = 256 * 1024;
     // Prefill rate and fixed time of an engine call, for the estimate of its duration.
--- a/balsamspring/gateway/team_shares.h
+++ b/balsamspring/gateway/team_shares.h
@@ -52,8 +52,8 @@
     // amount that the pool serves in a second.
     bool admit(const team_id& team, double amount, double capacity, mono_time now);
 
-    // The teams that have become limited since the last call, with the amount of their waiting work that is within their
-    // share. A surge is noticed only after its first work has been admitted.
+    // The teams that have become limited since the last call, with the amount of their waiting work that is within
+    // their share. A surge is noticed only after its first work has been admitted.
     std::map<team_id, double> takeNewlyLimited() { return std::exchange(m_newlyLimited, {}); }
 
     // Amount per second that the team may submit. Infinite if it is not limited.
--- a/balsamspring/net/http_exchange.cc
+++ b/balsamspring/net/http_exchange.cc
@@ -11,6 +11,10 @@
 
 // Status codes below this are interim responses.
 constexpr unsigned firstFinalStatus = 200;
+// Interim responses and responses to other requests that are skipped before the connection is given up, and the size of
+// their bodies in bytes.
+constexpr unsigned maxSkippedResponses = 8;
+constexpr std::size_t maxSkippedBytes = 1024 * 1024;
 // A peer closes an idle connection after the time that it advertises. The client stops reusing the connection this much
 // earlier, so that no request is sent on a connection that the peer is closing.
 constexpr duration keepAliveSafetyMargin = std::chrono::milliseconds(500);
@@ -208,6 +212,7 @@
         const std::string* echoed = m_request.echoField.empty() ? nullptr : head.find(m_request.echoField);
         m_skipping = head.status < firstFinalStatus || (echoed && *echoed != m_request.echoValue);
         if (m_skipping) {
+            m_skippedResponses += 1;
             m_foreignResponseSeen = m_foreignResponseSeen || head.status >= firstFinalStatus;
             return;
         }
@@ -223,6 +228,8 @@
 
     void bodyArrived(std::string_view body)
     {
+        if (m_skipping)
+            m_skippedBytes += body.size();
         if (m_skipping || m_done)
             return;
         if (const auto onBody = m_callbacks.onBody)
@@ -236,9 +243,12 @@
             m_messageComplete = false;
             if (!m_skipping)
                 return end(exchange_outcome::Complete);
+            if (m_skippedResponses > maxSkippedResponses)
+                break;
             failure = m_parser.next();
         }
-        if (!m_done && failure != http_failure::None)
+        const bool endless = m_skippedResponses > maxSkippedResponses || m_skippedBytes > maxSkippedBytes;
+        if (!m_done && (failure != http_failure::None || endless))
             end(exchange_outcome::Malformed);
     }
 
@@ -294,6 +304,8 @@
     bool m_requestSent = false;
     bool m_skipping = false;
     bool m_foreignResponseSeen = false;
+    unsigned m_skippedResponses = 0;
+    std::size_t m_skippedBytes = 0;
     bool m_messageComplete = false;
     bool m_keepAlive = false;
     bool m_done = false;
--- a/balsamspring/net/http_message.cc
+++ b/balsamspring/net/http_message.cc
@@ -203,8 +203,8 @@
                 break;
         }
         input.erase(0, consumed);
-        // An incomplete head that is already longer than the limit cannot become valid.
-        if (failure == http_failure::None && !completed && !headDone() && input.size() > limits.headerBytes)
+        // The parser leaves nothing but an incomplete head, chunk header or trailer, which can be endless.
+        if (failure == http_failure::None && !completed && input.size() > limits.headerBytes)
             failure = http_failure::HeaderTooLarge;
         if (completed && failure == http_failure::None && callbacks.onComplete)
             callbacks.onComplete();
--- a/balsamspring/net/net_test.cc
+++ b/balsamspring/net/net_test.cc
@@ -122,6 +122,57 @@
     CHECK(longBody.parser.feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n") == http_failure::BodyTooLarge);
 }
 
+TEST_CASE("bytes without end are rejected at a limit in every part of a message")
+{
+    // Chunk extensions and trailers were once collected without a limit.
+    const http_limits limits { .headerBytes = 1000, .bodyBytes = 10'000 };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto& [name, beginning, endless] :
+        { std::tuple("status line", "", "H"), std::tuple("header line", "HTTP/1.1 200 OK\r\nX: ", "x"),
+            std::tuple("header lines", "HTTP/1.1 200 OK\r\n", "X: y\r\n"),
+            std::tuple("body", "HTTP/1.1 200 OK\r\n\r\n", "x"),
+            std::tuple("body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n123456789", "x"),
+            std::tuple("chunk size", chunked.c_str(), "0"),
+            std::tuple("chunk extension", (chunked + "5;").c_str(), "x"),
+            std::tuple("chunks", chunked.c_str(), "1\r\nx\r\n"),
+            std::tuple("trailer", (chunked + "0\r\nX: ").c_str(), "x"),
+            std::tuple("trailers", (chunked + "0\r\n").c_str(), "X: y\r\n") }) {
+        INFO(name);
+        parsed_messages messages(http_role::Response, limits);
+        std::size_t sent = 0;
+        http_failure failure = messages.parser.feed(beginning);
+        // A complete message is not parsed further, and the exchange closes its connection.
+        while (failure == http_failure::None && messages.complete == 0 && sent < 100'000) {
+            failure = messages.parser.feed(endless);
+            sent += std::string_view(endless).size();
+        }
+        // A chunk of one byte takes six bytes on the wire.
+        CHECK(sent <= 6 * limits.bodyBytes + limits.headerBytes);
+        CHECK(messages.body.size() <= limits.bodyBytes);
+        CHECK(messages.parser.buffered() <= limits.headerBytes + 10);
+    }
+}
+
+TEST_CASE("an exchange gives up a connection on which only other responses arrive")
+{
+    event_loop loop;
+    const auto [name, response] = GENERATE(std::pair("interim", "HTTP/1.1 100 Continue\r\n\r\n"),
+        std::pair("other requests", "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold"));
+    INFO(name);
+    std::string many;
+    for (int i = 0; i < 20; ++i)
+        many += response;
+    raw_server server(loop, [&](const auto& conn, std::string_view) { conn->write(many); });
+    exchange_client client(loop, {});
+    exchange_record record;
+    exchange_request request;
+    request.echoField = "Id";
+    request.echoValue = "new";
+    startExchange(client, server.address(), record, loop, request);
+    runFor(loop, 1s);
+    CHECK(record.end == exchange_outcome::Malformed);
+}
+
 TEST_CASE("the end of the connection completes a response without a length and truncates one with a length")
 {
     parsed_messages unframed(http_role::Response);
