Learn result storage only when a VM begins to gather, and let foreign results expire evenly

Cause: a pause of a second in the work for a pool made its VM ask for the free storage again.

Change: the servers are asked when this VM comes to own a pool or accepts work as a substitute. What other VMs left there is expected to expire evenly within the lifetime of results.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -276,10 +276,28 @@
 
     void onOwnersChanged()
     {
+        beginGathering();
         router.onOwnersChanged();
         updatePolling();
     }
 
+    // Pools that this VM has come to own.
+    void beginGathering()
+    {
+        const auto snapshot = config.current();
+        if (!snapshot || !ownership)
+            return;
+        std::set<pool_id> owned;
+        for (const pool_spec& pool : snapshot->data().pools) {
+            if (!pool.pieces || !ownership->isOwner(pool.id))
+                continue;
+            owned.insert(pool.id);
+            if (!ownedPools.contains(pool.id))
+                pieces.beginGathering(pool.id);
+        }
+        ownedPools = std::move(owned);
+    }
+
     // Reads through another VM are cheap and may be frequent. Reads of the store are billed.
     void updatePolling()
     {
@@ -438,6 +456,7 @@
     std::unique_ptr<http_service> peerService;
     std::set<std::shared_ptr<request_session>> sessions;
     std::set<backend_id> probedServers;
+    std::set<pool_id> ownedPools;
     std::function<void()> onStopped;
     bool configUnreadable = false;
     bool stopping = false; // The gateway is no longer ready.
--- a/balsamspring/gateway/piece_gatherer.cc
+++ b/balsamspring/gateway/piece_gatherer.cc
@@ -130,10 +130,13 @@
     const pool_spec* pool = config ? config->pool(pool_id(decoded.pool())) : nullptr;
     if (!pool || !pool->pieces || !m_ownership)
         return writer->send(peerHead(peerUnavailable), {});
+    const bool gathered = m_ownership->gathersFor(pool->id, request.receivedAt);
     if (!m_ownership->acceptWork(pool->id, decoded.redirected(), request.receivedAt)) {
         const auto owner = m_ownership->knownOwner(pool->id);
         return writer->send(peerHead(peerUnavailable), owner ? toString(*owner) : std::string());
     }
+    if (!gathered)
+        m_pieces.beginGathering(pool->id);
     piece_work work;
     work.pool = pool->id;
     work.request = request_id(decoded.request());
--- a/balsamspring/gateway/piece_queue.cc
+++ b/balsamspring/gateway/piece_queue.cc
@@ -280,13 +280,14 @@
     m_servers[server].awaitsStorageUntil = until;
 }
 
-void piece_queue::storageKnown(const backend_id& server, std::uint64_t freeBytes, mono_time expiresAt)
+void piece_queue::storageKnown(const backend_id& server, std::uint64_t freeBytes, duration lifetime, mono_time now)
 {
     server_state& state = m_servers[server];
     state.awaitsStorageUntil = {};
     const std::uint64_t occupied = m_spec.resultCapacity > freeBytes ? m_spec.resultCapacity - freeBytes : 0;
     state.foreignBytes = occupied > state.reservedBytes ? occupied - state.reservedBytes : 0;
-    state.foreignUntil = expiresAt;
+    state.foreignSince = now;
+    state.foreignLifetime = lifetime;
 }
 
 void piece_queue::releaseForeignBytes(const backend_id& server, std::uint64_t bytes)
@@ -303,7 +304,10 @@
 
 std::uint64_t piece_queue::occupiedBytes(const server_state& server, mono_time now)
 {
-    return server.reservedBytes + (now < server.foreignUntil ? server.foreignBytes : 0);
+    if (server.foreignBytes == 0 || now - server.foreignSince >= server.foreignLifetime)
+        return server.reservedBytes;
+    const double left = 1 - toSeconds(now - server.foreignSince) / toSeconds(server.foreignLifetime);
+    return server.reservedBytes + static_cast<std::uint64_t>(left * static_cast<double>(server.foreignBytes));
 }
 
 void piece_queue::resetServer(const backend_id& server)
--- a/balsamspring/gateway/piece_queue.h
+++ b/balsamspring/gateway/piece_queue.h
@@ -122,11 +122,14 @@
     void releaseResultBytes(const backend_id& server, std::uint64_t bytes);
     // Keeps the server from getting calls until its storage is known, but not beyond `until`.
     void awaitStorage(const backend_id& server, mono_time until);
-    // The server's free storage is known. Results of other VMs occupy what is neither free nor reserved here. They
-    // expire at `expiresAt` at the latest.
-    void storageKnown(const backend_id& server, std::uint64_t freeBytes, mono_time expiresAt);
+    // The server's free storage is known. Results of other VMs occupy what is neither free nor reserved here. They are
+    // of any age, so that they are expected to expire evenly within `lifetime`.
+    void storageKnown(const backend_id& server, std::uint64_t freeBytes, duration lifetime, mono_time now);
     // The server had no storage for a result, so that results of other VMs occupy all that is not reserved here.
-    void storageExhausted(const backend_id& server, mono_time expiresAt) { storageKnown(server, 0, expiresAt); }
+    void storageExhausted(const backend_id& server, duration lifetime, mono_time now)
+    {
+        storageKnown(server, 0, lifetime, now);
+    }
     // A result of another VM was freed.
     void releaseForeignBytes(const backend_id& server, std::uint64_t bytes);
     // Discards everything known of a server that was removed or restarted, except its calls in progress.
@@ -149,8 +152,9 @@
         mono_time slowdownAt {};
         mono_time blockedUntil {};
         std::uint64_t reservedBytes = 0; // of result storage
-        std::uint64_t foreignBytes = 0; // of result storage, occupied by results that another VM has made
-        mono_time foreignUntil {};
+        std::uint64_t foreignBytes = 0; // of result storage, occupied by other VMs' results at foreignSince
+        mono_time foreignSince {};
+        duration foreignLifetime {};
         mono_time awaitsStorageUntil {};
     };
 
--- a/balsamspring/gateway/piece_queue_test.cc
+++ b/balsamspring/gateway/piece_queue_test.cc
@@ -409,12 +409,14 @@
     };
     const backend_id server = servers[0].id;
     CHECK(piecesOfNextCall([](piece_queue&) {}, start) == 9);
-    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.storageKnown(server, 4000, start + 4s); }, start) == 3);
-    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.storageKnown(server, 4000, start + 4s); }, start + 5s) == 9);
-    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.storageExhausted(server, start + 4s); }, start) == 0);
+    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.storageKnown(server, 4000, 4s, start); }, start) == 3);
+    // Half of these results are expected to have expired.
+    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.storageKnown(server, 4000, 4s, start); }, start + 2s) == 6);
+    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.storageKnown(server, 4000, 4s, start); }, start + 5s) == 9);
+    CHECK(piecesOfNextCall([&](piece_queue& queue) { queue.storageExhausted(server, 4s, start); }, start) == 0);
     CHECK(piecesOfNextCall(
               [&](piece_queue& queue) {
-                  queue.storageExhausted(server, start + 4s);
+                  queue.storageExhausted(server, 4s, start);
                   queue.releaseForeignBytes(server, 3000);
               },
               start)
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -107,7 +107,6 @@
         std::unordered_map<std::string, tracked_result> trackedResults; // by handle
         recent_set handles; // of the latest responses
         event_loop::timer_id recheckTimer = 0;
-        mono_time lastWorkAt {};
     };
 
     struct piece_call : std::enable_shared_from_this<piece_call> {
@@ -312,9 +311,8 @@
                 continue;
             }
             parts.metrics.count("piece_failures", failureName(outcome.failure));
-            // The results that occupy the storage are of any age, so that half of them expire within half a lifetime.
             if (outcome.failure == piece_failure::NoCapacity)
-                target.queue.storageExhausted(call.server.id, now + target.queue.spec().resultLifetime / 2);
+                target.queue.storageExhausted(call.server.id, target.queue.spec().resultLifetime / 2, now);
             if (outcome.failure == piece_failure::Late)
                 fail(ticket, error_code::Expired, "server reported the piece as too late");
             else if (outcome.failure == piece_failure::InputsMissing)
@@ -515,7 +513,7 @@
                     return;
                 piece_queue& queue = found->second.queue;
                 if (report && report->maxFreeResultBytes)
-                    queue.storageKnown(server, *report->maxFreeResultBytes, bootNow() + queue.spec().resultLifetime);
+                    queue.storageKnown(server, *report->maxFreeResultBytes, queue.spec().resultLifetime, bootNow());
                 else
                     queue.awaitStorage(server, {});
                 dispatch(id);
@@ -527,6 +525,7 @@
     piece_service_parts parts;
     std::map<pool_id, pool_state> pools;
     std::map<pool_id, unsigned> callLimits;
+    std::set<pool_id> storageUnknown; // pools for which this VM gathers and has not had work
     std::map<piece_ticket, active_work> workByTicket;
     std::map<endpoint, release_batch> pendingReleases; // by the server that stores them
     event_loop::timer_id releaseTimer = 0;
@@ -546,10 +545,8 @@
     const pool_id id = work.pool;
     const mono_time now = bootNow();
     auto& target = m_state->pool(id, spec);
-    // A VM that calls the servers only as a fallback must not ask all of them: all VMs may fall back at once.
-    if (now - target.lastWorkAt > m_state->options.storageStaleAfter && m_state->callLimits[id] == 0)
+    if (m_state->storageUnknown.erase(id) > 0)
         m_state->learnStorage(id, target, now);
-    target.lastWorkAt = now;
     const bool affordable = !work.repeated || m_state->parts.retryBudget.trySpend(id, work.count, now);
     if (!work.repeated)
         m_state->parts.retryBudget.requestArrived(id, now);
@@ -597,15 +594,22 @@
     m_state->dispatch(server.pool);
 }
 
+void piece_service::beginGathering(const pool_id& pool)
+{
+    const auto found = m_state->pools.find(pool);
+    if (found == m_state->pools.end())
+        m_state->storageUnknown.insert(pool); // asked with the first work, whose pool is specified
+    else
+        m_state->learnStorage(pool, found->second, bootNow());
+}
+
 void piece_service::limitCalls(const pool_id& pool, unsigned limit)
 {
-    const unsigned previous = std::exchange(m_state->callLimits[pool], limit);
+    m_state->callLimits[pool] = limit;
     const auto found = m_state->pools.find(pool);
-    if (found == m_state->pools.end() || previous == limit)
+    if (found == m_state->pools.end())
         return;
     found->second.queue.limitCalls(limit);
-    if (limit == 0)
-        m_state->learnStorage(pool, found->second, bootNow());
     m_state->dispatch(pool);
 }
 
--- a/balsamspring/gateway/piece_service.h
+++ b/balsamspring/gateway/piece_service.h
@@ -55,10 +55,7 @@
     duration idleReuse = std::chrono::seconds(3);
     // The response to the largest call is much shorter.
     std::size_t maxResponseBytes = 1024 * 1024;
-    // After this time without work for a pool, another VM may have gathered for it, and the result storage of its
-    // servers is asked for.
-    duration storageStaleAfter = std::chrono::seconds(1);
-    // How long calls wait for the answer.
+    // How long calls wait for the servers' answers about their free result storage.
     duration storageWait = std::chrono::milliseconds(80);
     piece_queue_options queue;
 };
@@ -88,6 +85,9 @@
     void release(const pool_id& pool, const std::vector<piece_result>& results);
     // To be called when a server was added, removed or restarted.
     void onServerChanged(const server_entry& server, server_change change);
+    // This VM begins to gather for the pool. Asks its servers for their free result storage, because the results of the
+    // VM that gathered before still occupy it.
+    void beginGathering(const pool_id& pool);
     // Limits the concurrent calls of this VM to a pool. 0: limited only by the slots of the servers.
     void limitCalls(const pool_id& pool, unsigned limit);
 
