--- a/balsamspring/ctl/log_story_test.cc
+++ b/balsamspring/ctl/log_story_test.cc
@@ -90,7 +90,7 @@
 TEST_CASE("every reason that a session can end with is explained")
 {
     const std::string sources = gatewaySources();
-    for (const char* pattern : { "refuseNotRun\\(\"([a-z_]+)\"", "failAfterSend\\(\"([a-z_]+)\"",
+    for (const char* pattern : { "giveUp\\(\"([a-z_]+)\"", "failAfterSend\\(\"([a-z_]+)\"",
              "refuse\\(status[A-Za-z]+, \"([a-z_]+)\"", "abortResponse\\(\"([a-z_]+)\"",
              "call_failure::[A-Za-z]+, \"([a-z_]+)\"", "rejectIfWaiting\\(\"([a-z_]+)\"" }) {
         for (const std::string& reason : matches(sources, std::regex(pattern))) {
@@ -98,4 +98,13 @@
             CHECK(describeReason("refused", reason));
         }
     }
+    // Why a silent stream was given up.
+    const std::string watch
+        = readFile(std::filesystem::path(BALSAMSPRING_SOURCE_DIR) / "balsamspring" / "gateway" / "stream_watch.cc");
+    const std::set<std::string> losses = matches(watch, std::regex("return \"([a-z_]+)\""));
+    CHECK(losses.size() > 5);
+    for (const std::string& reason : losses) {
+        INFO(reason);
+        CHECK((reason == "none" || describeReason("broken", reason)));
+    }
 }
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -483,6 +483,11 @@
 
 void request_session::rejectIfWaiting(std::string_view reason)
 {
+    // A request that was not begun has not been decoded. Its id belongs into the response and the log.
+    if (m_request.id.value().empty()) {
+        if (auto decoded = m_context.adapter.decodeRequest(m_incoming.head))
+            m_request = std::move(*decoded);
+    }
     if (!m_done && !m_exchange && !m_mayHaveRun && !m_responseStarted)
         giveUp(reason);
 }
