--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -56,7 +56,7 @@
     }
 
 private:
-    static constexpr std::size_t maxSize = 16 * 1024;
+    static constexpr std::size_t maxSize = 16UL * 1024;
     std::unordered_set<std::uint64_t> m_known;
     std::deque<std::uint64_t> m_order; // oldest first
 };
--- a/balsamspring/gateway/team_shares_test.cc
+++ b/balsamspring/gateway/team_shares_test.cc
@@ -126,10 +126,10 @@
             double rate = usualRate * usualShare(team) * (surging ? options.burst : 1);
             if (surging && team == options.team)
                 rate *= options.factor;
-            // Poisson arrivals: the number in one step is small.
-            for (double mean = rate * toSeconds(step); mean > 0; mean -= 1) {
-                if (uniform(random) >= std::min(mean, 1.0))
-                    continue;
+            // The number of arrivals in one step is small.
+            const double mean = rate * toSeconds(step);
+            const int arrivals = static_cast<int>(mean) + (uniform(random) < mean - std::floor(mean));
+            for (int i = 0; i < arrivals; ++i) {
                 piece_group group;
                 group.ticket = nextTicket++;
                 group.count = pieces;
--- a/balsamspring/net/http_exchange.cc
+++ b/balsamspring/net/http_exchange.cc
@@ -14,7 +14,7 @@
 // Interim responses and responses to other requests that are skipped before the connection is given up, and the size of
 // their bodies in bytes.
 constexpr unsigned maxSkippedResponses = 8;
-constexpr std::size_t maxSkippedBytes = 1024 * 1024;
+constexpr std::size_t maxSkippedBytes = 1024UL * 1024;
 // A peer closes an idle connection after the time that it advertises. The client stops reusing the connection this much
 // earlier, so that no request is sent on a connection that the peer is closing.
 constexpr duration keepAliveSafetyMargin = std::chrono::milliseconds(500);
