--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include <fmt/core.h>
+#include <fmt/ranges.h>
 
 namespace balsamspring {
 
@@ -171,6 +172,7 @@
         }
         if (!m_serverBegan) {
             m_serverBegan = true;
+            m_serverBeganAt = now;
             // A server reads all its inputs before it sends the first event. Keeping them for a continuation would
             // occupy result storage for the whole stream; a continuation makes them again.
             releaseFinalResults();
@@ -263,6 +265,14 @@
     giveUp("server_full");
 }
 
+std::vector<std::string_view> request_session::sharedParts() const
+{
+    std::vector<std::string_view> ids;
+    for (std::size_t i = 0; i + 1 < m_request.prompt.size(); ++i)
+        ids.push_back(m_request.prompt[i].id);
+    return ids;
+}
+
 void request_session::callFailed(call_failure kind, std::string_view cause)
 {
     const mono_time now = bootNow();
@@ -270,7 +280,10 @@
     logLine(log_level::Warn, "call_failed",
         { { "id", m_request.id.value() }, { "route", m_route->name }, { "server", m_server->id.value() },
             { "how", std::string(cause) }, { "attempt", std::to_string(m_attempts) },
-            { "elapsed_ms", milliseconds(now - m_sentAt) } });
+            { "elapsed_ms", milliseconds(now - m_sentAt) },
+            // Shows what the requests on a crashed server had in common, and which of them had not begun there.
+            { "begun_ms", m_serverBegan ? milliseconds(now - m_serverBeganAt) : "-" },
+            { "parts", fmt::format("{}", fmt::join(sharedParts(), "+")) } });
     if (m_exchange)
         m_exchange->cancel();
     m_exchange = nullptr;
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -125,6 +125,8 @@
     void bodyArrived(std::string_view bytes);
     void callEnded(exchange_outcome end);
     void callFailed(call_failure kind, std::string_view cause);
+    // Ids of the prompt parts that other requests may share: all but the last one.
+    std::vector<std::string_view> sharedParts() const;
     void callRejected();
     void callTimedOut();
     bool mayRetry();
@@ -193,6 +195,7 @@
     bool m_firstEventSeen = false;
     // The current server has sent an event.
     bool m_serverBegan = false;
+    mono_time m_serverBeganAt {};
     // The request is refused because its team is above its share.
     bool m_overShare = false;
     // The stages run for the second time or later.
