Block parts of prompts that crash one server after the other

Cause: the quarantine compares whole contents. Requests that differ in one byte are new to it, and each was also sent to a second engine. Sound requests that were lost with them became suspects, which must run alone on an engine.

Change: part_quarantine, free of I/O. A crash is evidence against the parts of the requests that were lost with it and had not run for half a second; an answer that goes on disproves earlier evidence. Three crashes without a proof in between block a part. VMs exchange evidence, proofs and blocks as records of the suspects' topic, whose order decides, and which is relayed like the other topics now (a read that goes silent is noticed after 1.2 s, not 20). Records stay queued until the store has taken them. A blocked part is probed after 2, 8, 32 s and so on by one request of one VM, claimed by a conditional append. A run of half a second also clears a suspected content, so that it no longer needs an engine alone. Only a refused connection or a restart counts as a crash; a link that fails cuts off many servers at once. http_service closes its address when it is destroyed, which the stand-in of a crashing server needs.

Tests: replays on virtual time (nine VMs, 195 VMs, three parts, first part, beside other crashes, waves, restarts, an outage of the store) and end to end with two gateways.

--- a/balsamspring/gateway/crash_quarantine.cc
+++ b/balsamspring/gateway/crash_quarantine.cc
@@ -4,8 +4,9 @@
 
 namespace balsamspring {
 
-crash_quarantine::crash_quarantine(const quarantine_options& options)
+crash_quarantine::crash_quarantine(const quarantine_options& options, lost_prompt_hook onLostPrompt)
     : m_options(options)
+    , m_onLostPrompt(std::move(onLostPrompt))
 {
 }
 
@@ -39,12 +40,13 @@
     });
 }
 
-void crash_quarantine::started(attempt_id attempt, fingerprint content, const backend_id& server, mono_time now)
+void crash_quarantine::started(
+    attempt_id attempt, fingerprint content, const backend_id& server, mono_time now, attempt_prompt prompt)
 {
     evictExpired(now);
     const bool exclusive
         = quarantineStatus(content, now) == quarantine_status::Suspect && !hasRunningAttempts(server, now);
-    m_attempts[attempt] = { content, server, exclusive, std::nullopt };
+    m_attempts[attempt] = { content, server, exclusive, std::nullopt, now, std::move(prompt) };
 }
 
 void crash_quarantine::succeeded(attempt_id attempt, mono_time now)
@@ -68,7 +70,9 @@
         found->second.connectionLostAt = now;
 }
 
-void crash_quarantine::connectRefused(const backend_id& server, mono_time now) { handleCrash(server, now); }
+void crash_quarantine::connectRefused(const backend_id& server, mono_time now) { handleCrash(server, true, now); }
+
+void crash_quarantine::unreachable(const backend_id& server, mono_time now) { handleCrash(server, false, now); }
 
 void crash_quarantine::generationSeen(const backend_id& server, std::uint64_t generation, mono_time now)
 {
@@ -76,11 +80,11 @@
     const bool changed = known != m_generations.end() && known->second != generation;
     m_generations[server] = generation;
     if (changed)
-        handleCrash(server, now);
+        handleCrash(server, true, now);
 }
 
 // Only attempts whose connection was lost ran on the server before it crashed.
-void crash_quarantine::handleCrash(const backend_id& server, mono_time now)
+void crash_quarantine::handleCrash(const backend_id& server, bool certain, mono_time now)
 {
     evictExpired(now);
     std::vector<running_attempt> lost;
@@ -98,6 +102,9 @@
             = attempt.exclusive && quarantineStatus(attempt.content, now) == quarantine_status::Suspect;
         setQuarantineStatus(
             attempt.content, quarantine ? quarantine_status::Quarantined : quarantine_status::Suspect, now);
+        // A link that fails cuts off many servers at once, which would count as many crashes.
+        if (certain && m_onLostPrompt && !attempt.prompt.parts.empty())
+            m_onLostPrompt({ attempt.server, attempt.prompt, attempt.startedAt }, now);
     }
 }
 
--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "balsamspring/gateway/gateway.h"
 
+#include "balsamspring/base/hash.h"
 #include "balsamspring/gateway/peer_messages.h"
 #include "balsamspring/gateway/piece_gatherer.h"
 #include "balsamspring/gateway/relayed_store.h"
@@ -45,17 +46,18 @@
         , servers({}, [this](const server_entry& server, server_change change) { onServerChanged(server, change); })
         , balancer({}, settings.zone, random)
         , retryBudget(budgetOptions(settings))
-        , quarantine({})
-        , suspects(decoders.suspectTopic, store, quarantine, metrics)
+        , quarantine({}, [this](const lost_prompt& lost, mono_time now) { onLostPrompt(lost, now); })
+        , parts({}, random)
+        , suspects({}, decoders.suspectTopic, store, quarantine, parts, metrics, random)
         , backends(loop, {})
         , reports({}, loop, wire, backends, metrics)
         , pieces({}, { loop, wire, servers, retryBudget, backends, reports, metrics })
         , router({}, loop, pieces, metrics)
         , gatherer({}, loop, pieces, config, sharedOwnership)
-        , context { loop, wire, settings.zone, config, servers, balancer, retryBudget, stageTimes, quarantine, backends,
-            reports, router, metrics, random,
-            [this](const server_entry& server) {
-                checkAlive(server);
+        , context { loop, wire, settings.zone, config, servers, balancer, retryBudget, stageTimes, quarantine, parts,
+            backends, reports, router, metrics, random, [this](const server_entry& server) { checkAlive(server); },
+            [this](fingerprint part, std::function<void(bool)> done) {
+                suspects.claimProbe(part, suspectFollower.nextOffset(), std::move(done));
             } }
         , relayed({}, loop, store, metrics)
         , configFollower({ .topic = decoders.configTopic, .wait = options.configWait, .pause = duration::zero() },
@@ -65,8 +67,8 @@
               relayed.store(), followerHooks("servers", [this](const store_record& item) { serverRecord(item); }),
               random)
         , suspectFollower(
-              { .topic = decoders.suspectTopic, .wait = options.suspectWait, .pause = options.suspectPause }, store,
-              followerHooks("suspects", [this](const store_record& item) { suspects.applyUpdate(item, bootNow()); }),
+              { .topic = decoders.suspectTopic, .wait = options.suspectWait, .pause = options.suspectPause },
+              relayed.store(), followerHooks("suspects", [this](const store_record& item) { suspectRecord(item); }),
               random)
     {
     }
@@ -155,6 +157,19 @@
         servers.remove(backend_id(record.key), now);
     }
 
+    void suspectRecord(const store_record& record)
+    {
+        relayed.relay(decoders.suspectTopic).add(record);
+        suspects.applyRecord(record, bootNow());
+    }
+
+    void onLostPrompt(const lost_prompt& lost, mono_time now)
+    {
+        // The server's start time tells its crashes apart, and is the same on all VMs.
+        const fingerprint crash(combineHash(hash64(lost.server.value()), lost.prompt.serverGeneration));
+        parts.crashed(crash, lost.prompt.parts, lost.startedAt, now);
+    }
+
     void onServerChanged(const server_entry& server, server_change change)
     {
         metrics.count("server_changes", toString(change));
@@ -165,7 +180,7 @@
             balancer.forget(server.id);
             backends.closeIdleConnectionsTo(server.address);
         }
-        if (change == server_change::Restarted)
+        if (change == server_change::Added || change == server_change::Restarted)
             quarantine.generationSeen(server.id, static_cast<std::uint64_t>(server.startedAtMs), bootNow());
         pieces.onServerChanged(server, change);
     }
@@ -178,17 +193,19 @@
         constexpr duration probeTimeout = std::chrono::milliseconds(500);
         auto probe = connection::open(loop, server.address, probeTimeout);
         const std::weak_ptr<connection> weak = probe;
-        const auto finish = [this, weak, id = server.id](bool refused) {
+        const auto finish = [this, weak, id = server.id](std::optional<connection_end> end) {
             probedServers.erase(id);
-            if (refused)
+            if (end == connection_end::Refused)
                 quarantine.connectRefused(id, bootNow());
+            else if (end)
+                quarantine.unreachable(id, bootNow());
             if (const auto open = weak.lock())
                 open->abort();
-            suspects.publish();
+            suspects.publish(bootNow());
         };
-        probe->setHandlers({ .onConnected = [finish] { finish(false); },
+        probe->setHandlers({ .onConnected = [finish] { finish(std::nullopt); },
             .onData = nullptr,
-            .onEnd = [finish](connection_end) { finish(true); },
+            .onEnd = [finish](connection_end end) { finish(end); },
             .onWritten = nullptr });
     }
 
@@ -309,6 +326,12 @@
         else if (relayed.isRelayed(decoders.serverTopic))
             pause = options.relayedServerPause;
         serverFollower.setPolling(duration::zero(), pause);
+        if (relayed.relays(decoders.suspectTopic))
+            suspectFollower.setPolling(options.relaySuspectWait, options.relaySuspectPause);
+        else if (relayed.isRelayed(decoders.suspectTopic))
+            suspectFollower.setPolling(options.suspectWait, duration::zero());
+        else
+            suspectFollower.setPolling(options.suspectWait, options.suspectPause);
     }
 
     // Opens a listener for readiness and metrics. Both are served on either address.
@@ -358,7 +381,7 @@
     void sessionDone(request_session& session)
     {
         sessions.erase(session.shared_from_this());
-        suspects.publish();
+        suspects.publish(bootNow());
         if (refusing)
             loop.post([this] { stopIfIdle(); });
     }
@@ -367,6 +390,9 @@
     {
         loop.after(options.expiryInterval, [this] {
             servers.expire(bootNow());
+            parts.tick(bootNow());
+            suspects.removeExpired(relayed.relays(decoders.suspectTopic));
+            suspects.publish(bootNow());
             const bool nowReady = ready();
             if (nowReady != wasReady)
                 logLine(log_level::Info, nowReady ? "ready" : "not_ready",
@@ -437,6 +463,7 @@
     retry_budget retryBudget;
     stage_times stageTimes;
     crash_quarantine quarantine;
+    part_quarantine parts;
     suspect_sharing suspects;
     exchange_client backends;
     server_reports reports;
--- a/balsamspring/gateway/gateway.h
+++ b/balsamspring/gateway/gateway.h
@@ -63,7 +63,11 @@
     duration relayServerPause = std::chrono::milliseconds(250);
     // Delay between two reads of the server entries through that VM.
     duration relayedServerPause = std::chrono::milliseconds(200);
-    duration suspectWait = std::chrono::seconds(20);
+    // Maximum time for which the store, or the VM that relays the suspects, holds a read. A VM whose connection has
+    // gone silent misses suspects for this long.
+    duration suspectWait = std::chrono::milliseconds(1200);
+    duration relaySuspectWait = std::chrono::milliseconds(1000);
+    duration relaySuspectPause = std::chrono::milliseconds(150);
     // Without this delay, each VM would read every suspect record in a call of its own when many servers crash at once.
     duration suspectPause = std::chrono::seconds(1);
     // Allows for requests in transit and late timers.
--- a/balsamspring/gateway/gateway_context.h
+++ b/balsamspring/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include "balsamspring/gateway/config_state.h"
 #include "balsamspring/gateway/crash_quarantine.h"
 #include "balsamspring/gateway/gateway_metrics.h"
+#include "balsamspring/gateway/part_quarantine.h"
 #include "balsamspring/gateway/repeat_budget.h"
 #include "balsamspring/gateway/server_balancer.h"
 #include "balsamspring/gateway/server_registry.h"
@@ -32,6 +33,7 @@
     retry_budget& retryBudget;
     stage_times& stageTimes;
     crash_quarantine& quarantine;
+    part_quarantine& parts;
     exchange_client& backendClient;
     server_reports& reports;
     piece_router& pieces;
@@ -39,6 +41,8 @@
     random_engine& random;
     // Probes a server that may have crashed during a request, and reports to the quarantine if it refuses connections.
     std::function<void(const server_entry&)> checkAlive;
+    // Claims the next probe of a blocked part for this VM. Calls back once.
+    std::function<void(fingerprint part, std::function<void(bool claimed)>)> claimProbe;
 };
 
 } // namespace balsamspring
--- a/balsamspring/gateway/record_store.h
+++ b/balsamspring/gateway/record_store.h
@@ -19,6 +19,12 @@
     std::uint64_t offset = 0;
 };
 
+// A record to append. An empty value removes the key.
+struct keyed_value {
+    std::string key;
+    std::string value;
+};
+
 struct record_page {
     std::vector<store_record> records;
     std::uint64_t nextOffset = 0; // Offset at which the next read starts.
@@ -41,7 +47,8 @@
 };
 
 // Each operation invokes its callback once. `readFrom` fails with `NotFound` if the requested records are no longer
-// retained. An append that fails with an error other than `Refused` may have taken effect or may still do so.
+// retained. An append that fails with an error other than `Refused` or `Conflict` may have taken effect or may still do
+// so.
 struct record_store {
     template <class Value> using reply = std::function<void(result<Value>)>;
 
@@ -49,9 +56,10 @@
     std::function<void(const std::string& topic, const std::string& afterKey, reply<newest_page>)> readNewest;
     // The store may hold the read for up to `wait` until a record arrives.
     std::function<void(const std::string& topic, std::uint64_t from, duration wait, reply<record_page>)> readFrom;
-    // Appends to partition 0 of a keyed topic.
-    std::function<void(
-        const std::string& topic, const std::string& key, const std::string& value, reply<std::uint64_t>)>
+    // Appends all records, or none, to partition 0 of a keyed topic. With `expectedEnd`, fails with `Conflict` unless
+    // the partition ends at that offset. Replies with the offset of the first record.
+    std::function<void(const std::string& topic, const std::vector<keyed_value>& records,
+        std::optional<std::uint64_t> expectedEnd, reply<std::uint64_t>)>
         append;
     // Joins the group, or renews a membership, for `lifetime`. Replies with the current generation of the group.
     std::function<void(const std::string& group, const std::string& member, const std::string& topic, duration lifetime,
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -72,6 +72,14 @@
     m_writer->onDisconnect([self = shared_from_this()] { self->callerDisconnected(); });
     m_writer->onWritten([self = shared_from_this()] { self->applyBackpressure(); });
     startTimers();
+    const part_verdict verdict = m_context.parts.judge(m_parts, bootNow());
+    if (verdict.decision == part_verdict::admission::Probe)
+        return claimProbe(verdict);
+    start();
+}
+
+void request_session::start()
+{
     m_context.retryBudget.requestArrived(m_pool, m_incoming.receivedAt);
     prepareStages();
     submitReadyStages();
@@ -79,7 +87,7 @@
 
 void request_session::send()
 {
-    if (!keyStillValid())
+    if (!keyStillValid() || refuseBlocked())
         return;
     const server_entry* server = chooseServer();
     if (!server)
@@ -93,8 +101,10 @@
     m_splitter = {};
     m_events.beginServerStream();
     m_serverBegan = false;
+    m_proven = false;
     m_attempt = attempt_id(nextAttempt());
-    m_context.quarantine.started(m_attempt, m_content, server->id, now);
+    m_context.quarantine.started(m_attempt, m_content, server->id, now,
+        { .parts = m_parts, .serverGeneration = static_cast<std::uint64_t>(server->startedAtMs) });
     m_context.balancer.started(server->id);
     forward_fields fields;
     fields.remaining = remaining();
@@ -182,6 +192,8 @@
         m_deliveredEvents = std::max(m_deliveredEvents + 1, eventNumber(event.id));
         m_watch.eventArrived(m_deliveredEvents, now);
     }
+    if (m_serverBegan && now - m_serverBeganAt >= m_options.crashProof)
+        recordProof();
     if (m_splitter.partialBytes() > m_options.maxEventBytes) {
         m_context.quarantine.dropped(m_attempt);
         return callFailed(call_failure::Lost, "endless_event");
@@ -201,13 +213,17 @@
 
 void request_session::callEnded(exchange_outcome end)
 {
+    const bool refused = m_exchange && m_exchange->connectionRefused();
     m_exchange = nullptr;
     if (m_done)
         return;
     switch (end) {
     case exchange_outcome::NotSent:
         m_context.quarantine.dropped(m_attempt);
-        m_context.quarantine.connectRefused(m_server->id, bootNow());
+        if (refused)
+            m_context.quarantine.connectRefused(m_server->id, bootNow());
+        else
+            m_context.quarantine.unreachable(m_server->id, bootNow());
         return callFailed(call_failure::Unreachable, "not_reached");
     case exchange_outcome::Lost:
     case exchange_outcome::Malformed:
@@ -297,7 +313,8 @@
         return sendAgain();
     }
     m_mayHaveRun = true;
-    const bool retryAllowed = m_route->idempotent() && (!m_responseStarted || m_firstEventSeen);
+    // A probe ends with the server that it may have crashed.
+    const bool retryAllowed = !m_probing && m_route->idempotent() && (!m_responseStarted || m_firstEventSeen);
     if (retryAllowed && mayRetry() && m_context.retryBudget.trySpend(m_pool, now)) {
         m_context.metrics.count("repeats", m_firstEventSeen ? "resumed" : "failed");
         return sendAgain();
@@ -411,11 +428,21 @@
 {
     if (!m_server)
         return;
-    m_context.quarantine.succeeded(m_attempt, bootNow());
+    recordProof();
     m_context.balancer.succeeded(m_server->id, (m_firstEventSeen ? m_firstEventAt : bootNow()) - m_sentAt);
     m_server.reset();
 }
 
+void request_session::recordProof()
+{
+    if (m_proven)
+        return;
+    m_proven = true;
+    const mono_time now = bootNow();
+    m_context.quarantine.succeeded(m_attempt, now);
+    m_context.parts.proven(m_parts, m_serverBegan ? m_serverBeganAt : m_sentAt, now);
+}
+
 void request_session::streamEnded()
 {
     if (m_splitter.hasPartialEvent())
@@ -520,6 +547,8 @@
 {
     const double range = toSeconds(m_options.maxRetryAfter - m_options.minRetryAfter);
     const duration after = m_options.minRetryAfter + fromSeconds(range * uniform(m_context.random));
+    if (m_retryAfter)
+        return after + *m_retryAfter;
     return m_overShare ? fromSeconds(toSeconds(after) * m_options.overShareRetryFactor) : after;
 }
 
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -47,6 +47,8 @@
     double stageSlackFactor = 0.5;
     // Scheduling slack for the engine call: the difference between the 90th percentile and the median of its latency.
     duration engineSlack = std::chrono::milliseconds(100);
+    // A request that has run this long on a server since its first event does not crash it.
+    duration crashProof = std::chrono::milliseconds(500);
     // A branch of stages starts this much earlier than necessary to end together with the longest one.
     duration branchMargin = std::chrono::milliseconds(120);
     // Longest idle time of a connection that is reused: for idempotent requests, and for all others.
@@ -79,6 +81,11 @@
 
     // Admission. Functions that return false have ended the request.
     bool admit();
+    void start();
+    // Claims the probe of a blocked part of the prompt for this request, and refuses it if that fails.
+    void claimProbe(const part_verdict& verdict);
+    // Whether a part of the prompt has been blocked since the admission. Ends the request in that case.
+    bool refuseBlocked();
     bool findRoute();
     bool authenticate();
     bool keyStillValid();
@@ -137,6 +144,8 @@
     void runStatusArrived(report_outcome outcome, const server_report* report, attempt_id asked);
     bool mayReplaceStream();
     void recordSuccess();
+    // The current server has run the request long enough to show that its content and its parts are harmless.
+    void recordProof();
 
     // The response to the caller.
     void relayEvents(std::string_view bytes);
@@ -168,6 +177,14 @@
     pool_id m_pool;
     caller_request m_request;
     fingerprint m_content;
+    // Fingerprints of the parts of the prompt that other requests may share.
+    std::vector<fingerprint> m_parts;
+    // The request tests a blocked part of its prompt.
+    bool m_probing = false;
+    // The current server has run the request long enough.
+    bool m_proven = false;
+    // Overrides the Retry-After value of a refusal.
+    std::optional<duration> m_retryAfter;
     // Time at which the route's latency target is reached.
     mono_time m_targetTime {};
     mono_time m_deadline {};
--- a/balsamspring/gateway/request_session_admission.cc
+++ b/balsamspring/gateway/request_session_admission.cc
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 
+#include <fmt/core.h>
+#include <fmt/ranges.h>
+
 namespace balsamspring {
 
 namespace {
@@ -28,9 +31,41 @@
         giveUp("crashes_servers");
         return false;
     }
+    for (const std::string_view part : sharedParts())
+        m_parts.push_back(fingerprint(hash64(part)));
+    return !refuseBlocked();
+}
+
+bool request_session::refuseBlocked()
+{
+    if (m_probing)
+        return false;
+    const part_verdict verdict = m_context.parts.judge(m_parts, bootNow());
+    if (verdict.decision == part_verdict::admission::Allowed)
+        return false;
+    // A request whose admission began before a probe was due waits for its claim.
+    if (verdict.decision == part_verdict::admission::Probe && m_stages.empty() && !m_mayHaveRun)
+        return false;
+    m_retryAfter = std::max(duration::zero(), verdict.nextProbe);
+    logLine(log_level::Info, "part_refused",
+        { { "id", m_request.id.value() }, { "part", fmt::format("{:016x}", verdict.part.value()) },
+            { "parts", fmt::format("{}", fmt::join(sharedParts(), "+")) } });
+    giveUp("crashing_part");
     return true;
 }
 
+void request_session::claimProbe(const part_verdict& verdict)
+{
+    m_context.claimProbe(verdict.part, [self = shared_from_this(), part = verdict.part](bool claimed) {
+        self->m_context.parts.probeClaimed(part, claimed, bootNow());
+        if (self->m_done)
+            return;
+        self->m_probing = claimed;
+        if (claimed || !self->refuseBlocked())
+            self->start();
+    });
+}
+
 bool request_session::findRoute()
 {
     m_route = m_config->match(m_request.host, m_request.target);
--- a/balsamspring/gateway/topic_follower.h
+++ b/balsamspring/gateway/topic_follower.h
@@ -44,6 +44,8 @@
     topic_follower(follower_options options, const record_store& store, follower_hooks hooks, random_engine& random);
 
     void start();
+    // Offset after the newest record that was reported.
+    std::uint64_t nextOffset() const { return m_nextOffset; }
     // Changes the polling options, starting with the next read.
     void setPolling(duration wait, duration pause);
     // Time since the last successful call, or since `start` before the first.
--- a/balsamspring/net/connection.cc
+++ b/balsamspring/net/connection.cc
@@ -108,7 +108,8 @@
             if (!state.open)
                 return;
             if (error)
-                return self->reportEnd(connection_end::Reset);
+                return self->reportEnd(error == boost::asio::error::connection_refused ? connection_end::Refused
+                                                                                       : connection_end::Reset);
             state.connected = true;
             if (const auto connected = state.handlers.onConnected)
                 connected();
@@ -221,7 +222,7 @@
         return abort();
     if (const auto ended = state.handlers.onEnd)
         ended(end);
-    if (end == connection_end::Reset)
+    if (end != connection_end::Closed)
         abort();
 }
 
--- a/balsamspring/net/connection.h
+++ b/balsamspring/net/connection.h
@@ -27,6 +27,7 @@
 enum class connection_end : std::uint8_t {
     Closed, // orderly end of stream: the peer has sent all of its data
     Reset, // connection error: received data may be incomplete
+    Refused, // no process accepts connections at the address
 };
 
 // Callbacks of a connection. None of them is called after close() or abort().
--- a/balsamspring/net/http_exchange.cc
+++ b/balsamspring/net/http_exchange.cc
@@ -198,6 +198,8 @@
 
     bool reusedConnection() const override { return m_reused; }
 
+    bool connectionRefused() const override { return m_refused; }
+
 private:
     void connected()
     {
@@ -254,6 +256,7 @@
 
     void connectionEnded(connection_end outcome)
     {
+        m_refused = outcome == connection_end::Refused;
         if (!m_requestSent)
             return end(exchange_outcome::NotSent);
         // A body without a length ends with the connection, unless the connection was reset.
@@ -301,6 +304,7 @@
     event_loop::timer_id m_connectTimer = 0;
     duration m_idleLimit {};
     bool m_reused = false;
+    bool m_refused = false;
     bool m_requestSent = false;
     bool m_skipping = false;
     bool m_foreignResponseSeen = false;
--- a/balsamspring/net/http_exchange.h
+++ b/balsamspring/net/http_exchange.h
@@ -48,6 +48,8 @@
     virtual void pauseReading(bool paused) = 0;
     // Whether the connection was taken from the pool of idle connections.
     virtual bool reusedConnection() const = 0;
+    // Whether the request was not sent because no process accepts connections at the address.
+    virtual bool connectionRefused() const = 0;
 };
 
 struct exchange_client_options {
--- a/balsamspring/net/http_service.cc
+++ b/balsamspring/net/http_service.cc
@@ -335,7 +335,8 @@
 {
 }
 
-http_service::~http_service() = default;
+// The listener's callback refers to the state, so the address would stay open.
+http_service::~http_service() { m_state->acceptor.reset(); }
 
 result<std::unique_ptr<http_service>> http_service::open(event_loop& loop, http_service_options options)
 {
