Trust a refusal only if it names the request

Another operator reported: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran, or such a request ran twice.

Can it happen here: a copy with the earlier id was skipped already. A copy without an id was taken for the answer of the next request on the connection: the caller got 503 for an unsafe request that the server ran (seen in the test on the code before: 503 instead of 200 or 502, on the kept connection and on a new one).

Change: on a connection that carried other requests, a response without the request's id is malformed, and the connection is closed. On any connection, a statement that a request was not run counts only with its id; otherwise the request may have run and ends with 502. Stage calls name no request; a copied refusal there makes pieces again, which is allowed.

--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -137,6 +137,11 @@
 void request_session::headArrived(const http_head& head)
 {
     m_response = m_context.adapter.decodeResponse(head);
+    // A refusal that names no request may be a copy of an earlier one.
+    if (m_response.notRun && !head.find(m_context.adapter.echoField)) {
+        m_context.metrics.count("call_failures", "unattributed_refusal");
+        m_response.notRun = m_response.wrongServer = m_response.inputsMissing = false;
+    }
     if (m_responseStarted)
         return;
     m_responseHead = m_context.adapter.toCallerResponse(head);
--- a/balsamspring/net/connection.cc
+++ b/balsamspring/net/connection.cc
@@ -108,8 +108,8 @@
             if (!state.open)
                 return;
             if (error)
-                return self->reportEnd(error == boost::asio::error::connection_refused ? connection_end::Refused
-                                                                                       : connection_end::Reset);
+                return self->reportEnd(
+                    error == boost::asio::error::connection_refused ? connection_end::Refused : connection_end::Reset);
             state.connected = true;
             if (const auto connected = state.handlers.onConnected)
                 connected();
@@ -263,6 +263,13 @@
     state.handlers = {};
 }
 
+void connection::reset()
+{
+    boost::system::error_code ignored; // without the option the peer sees an orderly end
+    m_socket->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    abort();
+}
+
 struct listener::state : std::enable_shared_from_this<listener::state> {
     state(event_loop& owner, duration limit, accept_callback callback)
         : loop(owner)
--- a/balsamspring/net/connection.h
+++ b/balsamspring/net/connection.h
@@ -64,6 +64,8 @@
     void close();
     // Closes the socket immediately and discards queued bytes.
     void abort();
+    // Like abort(), but the peer sees an error, not an orderly end.
+    void reset();
     bool isOpen() const;
     // The address passed to open(); empty for accepted connections.
     const std::string& peerAddress() const;
--- a/balsamspring/net/http_exchange.cc
+++ b/balsamspring/net/http_exchange.cc
@@ -213,6 +213,11 @@
     {
         const std::string* echoed = m_request.echoField.empty() ? nullptr : head.find(m_request.echoField);
         m_skipping = head.status < firstFinalStatus || (echoed && *echoed != m_request.echoValue);
+        // On a connection that carried other requests, a response that names none may be a copy of an earlier one.
+        if (!m_skipping && m_reused && !echoed && !m_request.echoField.empty())
+            m_unattributed = true;
+        if (m_unattributed)
+            return;
         if (m_skipping) {
             m_skippedResponses += 1;
             m_foreignResponseSeen = m_foreignResponseSeen || head.status >= firstFinalStatus;
@@ -232,7 +237,7 @@
     {
         if (m_skipping)
             m_skippedBytes += body.size();
-        if (m_skipping || m_done)
+        if (m_skipping || m_unattributed || m_done)
             return;
         if (const auto onBody = m_callbacks.onBody)
             onBody(body);
@@ -241,7 +246,7 @@
     void received(std::string_view bytes)
     {
         http_failure failure = m_parser.feed(bytes);
-        while (!m_done && failure == http_failure::None && m_messageComplete) {
+        while (!m_done && failure == http_failure::None && m_messageComplete && !m_unattributed) {
             m_messageComplete = false;
             if (!m_skipping)
                 return end(exchange_outcome::Complete);
@@ -249,6 +254,8 @@
                 break;
             failure = m_parser.next();
         }
+        if (!m_done && m_unattributed)
+            return end(exchange_outcome::Malformed);
         const bool endless = m_skippedResponses > maxSkippedResponses || m_skippedBytes > maxSkippedBytes;
         if (!m_done && (failure != http_failure::None || endless))
             end(exchange_outcome::Malformed);
@@ -307,6 +314,7 @@
     bool m_refused = false;
     bool m_requestSent = false;
     bool m_skipping = false;
+    bool m_unattributed = false;
     bool m_foreignResponseSeen = false;
     unsigned m_skippedResponses = 0;
     std::size_t m_skippedBytes = 0;
--- a/balsamspring/net/http_exchange.h
+++ b/balsamspring/net/http_exchange.h
@@ -32,8 +32,8 @@
     std::string bytes; // head and body
     // Maximum idle time of a reused connection; 0 requests a new connection.
     duration maxIdle = std::chrono::seconds(2);
-    // A response whose header field `echoField` differs from `echoValue` belongs to another request and is skipped.
-    // Empty disables the check.
+    // A response whose header field `echoField` differs from `echoValue` belongs to another request and is skipped. One
+    // without the field is malformed on a reused connection. Empty disables the checks.
     std::string echoField;
     std::string echoValue;
     bool expectNoBody = false; // for HEAD requests
