Relay nothing but events of the same stream after a stream was joined

Another operator reported: a stream broke off, the next worker answered with an error, and clients found its text or its head in their stream, or the stream ended as if it were complete.

Can it happen here: a status other than 2xx, an unsigned answer, a refusal and a gap in the events ended the stream as broken already. But a signed success was taken for the rest of the stream whatever it held. Seen in the test on the code before: the text of an error and a whole head within a body reached the caller, and 204 ended the stream as complete. The same bytes at the end of a stream without a length reached the caller too.

Change: once events are numbered, only numbered events and comments follow; anything else is a lost call, which is continued on another server if allowed. A continuation must have the status and content type of the stream that it continues. A stream whose last event has no number is never continued. Calls that end by a gap or a foreign event no longer stay registered as running, which kept suspects off their server.

Answers with neither length nor chunks, whole, reset, cut inside an event, longer than the buffer: tested here; no fault was found.

--- a/balsamspring/gateway/event_splitter.cc
+++ b/balsamspring/gateway/event_splitter.cc
@@ -29,6 +29,21 @@
     return std::nullopt;
 }
 
+// Whether the lines have no meaning to the caller.
+bool isComment(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        const std::string_view line = event.substr(0, end);
+        if (!line.empty() && line != "\r" && line.front() != ':')
+            return false;
+        if (end == std::string_view::npos)
+            break;
+        event.remove_prefix(end + 1);
+    }
+    return true;
+}
+
 std::optional<std::uint64_t> parseNumber(const std::string& text)
 {
     std::uint64_t value = 0;
@@ -70,12 +85,12 @@
 
 event_order event_sequence::check(const stream_event& event) const
 {
-    if (!event.id || !m_last)
-        return event_order::InOrder;
-    const auto lastNumber = parseNumber(*m_last);
-    const auto eventNumber = parseNumber(*event.id);
-    if (!lastNumber || !eventNumber)
+    const auto lastNumber = m_last ? parseNumber(*m_last) : std::nullopt;
+    if (!lastNumber)
         return event_order::InOrder;
+    const auto eventNumber = event.id ? parseNumber(*event.id) : std::nullopt;
+    if (!eventNumber)
+        return isComment(event.bytes) ? event_order::InOrder : event_order::Foreign;
     if (*eventNumber <= *lastNumber)
         return event_order::Duplicate;
     // A server may skip ids within its stream, but a resumed stream must start with the next id.
--- a/balsamspring/gateway/event_splitter.h
+++ b/balsamspring/gateway/event_splitter.h
@@ -34,11 +34,12 @@
     InOrder,
     Duplicate, // The event was already delivered.
     Gap, // Events before this one are missing.
+    Foreign, // Not an event of this stream, whose events are numbered.
 };
 
 // Checks the event ids of a stream that may be resumed on other servers. Ids must increase, and the first new id of a
-// server must be the successor of the last delivered one. Events without an id or with a non-numeric id count as in
-// order.
+// server must be the successor of the last delivered one. After an event with a numeric id, only comments may come
+// without one. Before it, events without a numeric id count as in order.
 class event_sequence {
 public:
     // The caller has already received all events up to this id.
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -101,6 +101,7 @@
     m_splitter = {};
     m_events.beginServerStream();
     m_serverBegan = false;
+    m_otherAnswer = false;
     m_proven = false;
     m_attempt = attempt_id(nextAttempt());
     m_context.quarantine.started(m_attempt, m_content, server->id, now,
@@ -142,15 +143,20 @@
         m_context.metrics.count("call_failures", "unattributed_refusal");
         m_response.notRun = m_response.wrongServer = m_response.inputsMissing = false;
     }
-    if (m_responseStarted)
+    if (m_responseStarted) {
+        const std::string* type = head.find("Content-Type");
+        const std::string* firstType = m_responseHead.find("Content-Type");
+        m_otherAnswer = head.status != m_responseHead.status || (type && firstType && *type != *firstType);
         return;
+    }
     m_responseHead = m_context.adapter.toCallerResponse(head);
     m_responseBody.clear();
 }
 
 void request_session::bodyArrived(std::string_view bytes)
 {
-    if (m_route->kind == route_kind::EventStream && isSuccess(m_response.status) && m_response.hasSignature)
+    if (m_route->kind == route_kind::EventStream && isSuccess(m_response.status) && m_response.hasSignature
+        && !m_otherAnswer)
         return relayEvents(bytes);
     if (m_responseStarted && !m_firstEventSeen) {
         m_writer->write(bytes);
@@ -178,8 +184,10 @@
         const event_order order = m_events.check(event);
         if (order == event_order::Duplicate)
             continue;
-        if (order == event_order::Gap)
-            return callFailed(call_failure::Lost, "event_gap");
+        if (order == event_order::Gap || order == event_order::Foreign) {
+            m_context.quarantine.dropped(m_attempt);
+            return callFailed(call_failure::Lost, order == event_order::Gap ? "event_gap" : "foreign_event");
+        }
         if (!m_firstEventSeen) {
             m_firstEventSeen = true;
             m_firstEventAt = now;
@@ -242,7 +250,7 @@
         return callRejected();
     if (isSuccess(m_response.status) && !m_response.hasSignature)
         return callFailed(call_failure::Lost, "unsigned_answer");
-    if (m_route->kind == route_kind::EventStream && isSuccess(m_response.status))
+    if (m_route->kind == route_kind::EventStream && isSuccess(m_response.status) && !m_otherAnswer)
         return streamEnded();
     // A server refused to resume the stream.
     if (m_firstEventSeen)
@@ -329,6 +337,9 @@
 
 bool request_session::mayRetry()
 {
+    // Without the number of the last event, a second stream could not be joined to the first.
+    if (m_firstEventSeen && !m_events.last())
+        return false;
     return m_attempts < m_route->maxAttempts && m_context.retryBudget.remaining(m_pool, bootNow()) >= 1
         && remaining() > duration::zero();
 }
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -210,6 +210,8 @@
     // Events that were delivered to the caller, including those of its previous connection.
     std::uint64_t m_deliveredEvents = 0;
     bool m_firstEventSeen = false;
+    // The current server answers the continuation of a stream with something else than a stream of the same kind.
+    bool m_otherAnswer = false;
     // The current server has sent an event.
     bool m_serverBegan = false;
     mono_time m_serverBeganAt {};
