Keep the process and its timers when a callback throws, and reset a broken answer that has no length

Looked for beside the reports: an exception in any callback ended the process (and left the timers that were due with it unset); none is known to happen. It is logged (callback_failed) and counted now; the connection whose data the callback was reading is closed.

A response to an HTTP/1.0 caller has neither a length nor chunks, and breaking it off closed the connection in order, so that it looked complete. It is reset now. Tests: net_test, both seen to fail before (the second as Closed; the first ended the test program).

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -362,6 +362,7 @@
         metrics.set("server_entries_age_seconds", toSeconds(serverFollower.timeSinceSuccess(bootNow())));
         metrics.set("requests_in_progress", static_cast<double>(sessions.size()));
         metrics.set("caller_connections", static_cast<double>(callers->connections()));
+        metrics.set("callback_failures", static_cast<double>(loop.callbackFailures()));
         metrics.set("backend_connections_opened", static_cast<double>(backends.connectionsOpened()));
         return metrics.text();
     }
--- a/balsamspring/net/connection.cc
+++ b/balsamspring/net/connection.cc
@@ -156,8 +156,15 @@
                     error == boost::asio::error::eof ? connection_end::Closed : connection_end::Reset);
             if (!state.closing) {
                 // The callback is copied because it may replace the handlers during the call.
-                if (const auto data = state.handlers.onData)
-                    data(std::string_view(state.input.data(), count));
+                if (const auto data = state.handlers.onData) {
+                    try {
+                        data(std::string_view(state.input.data(), count));
+                    } catch (...) {
+                        // What the handler had kept of the message is unknown.
+                        self->abort();
+                        throw;
+                    }
+                }
             }
             self->readMore();
         });
--- a/balsamspring/net/event_loop.cc
+++ b/balsamspring/net/event_loop.cc
@@ -1,5 +1,6 @@
 #include "balsamspring/net/event_loop.h"
 
+#include "balsamspring/base/log.h"
 #include "balsamspring/net/event_loop_state.h"
 
 #include <ctime>
@@ -25,9 +26,21 @@
 void event_loop::run()
 {
     m_state->context.restart(); // run() may follow stop()
-    m_state->context.run();
+    for (;;) {
+        try {
+            m_state->context.run();
+            return;
+        } catch (const std::exception& failure) {
+            // The callback that failed is lost. All other work goes on, also the timers that were due with it.
+            m_state->callbackFailures += 1;
+            logLine(log_level::Error, "callback_failed", { { "why", failure.what() } });
+            m_state->arm();
+        }
+    }
 }
 
+std::uint64_t event_loop::callbackFailures() const { return m_state->callbackFailures; }
+
 void event_loop::stop() { m_state->context.stop(); }
 
 event_loop::timer_id event_loop::after(duration delay, std::function<void()> callback)
--- a/balsamspring/net/event_loop.h
+++ b/balsamspring/net/event_loop.h
@@ -23,8 +23,11 @@
     event_loop(const event_loop&) = delete;
     event_loop& operator=(const event_loop&) = delete;
 
-    // Blocks until stop() is called or no work is left. May be called again after stop().
+    // Blocks until stop() is called or no work is left. May be called again after stop(). A callback that throws a
+    // std::exception is logged and counted; the others go on.
     void run();
+    // Number of callbacks that have thrown.
+    std::uint64_t callbackFailures() const;
     void stop();
 
     // Runs the callback once after at least `delay`. The returned id is never 0.
--- a/balsamspring/net/event_loop_state.h
+++ b/balsamspring/net/event_loop_state.h
@@ -33,6 +33,7 @@
     std::vector<std::unique_ptr<boost::asio::signal_set>> signals;
     std::chrono::steady_clock::time_point armedFor = std::chrono::steady_clock::time_point::max();
     timer_id nextTimer = 1;
+    std::uint64_t callbackFailures = 0;
 };
 
 } // namespace balsamspring
--- a/balsamspring/net/http_service.cc
+++ b/balsamspring/net/http_service.cc
@@ -124,7 +124,11 @@
         if (!m_inProgress)
             return;
         finishRequest();
-        m_connection->abort();
+        // Without a length or chunks, an orderly end would make the response look complete.
+        if (m_begun && m_framing == framing::Close)
+            m_connection->reset();
+        else
+            m_connection->abort();
         closeConnection();
     }
 
--- a/balsamspring/net/net_test.cc
+++ b/balsamspring/net/net_test.cc
@@ -425,3 +425,62 @@
     CHECK(fixture.received.find("Connection: close") != std::string::npos);
     CHECK(fixture.ended);
 }
+
+TEST_CASE("a callback that throws ends one connection, not the process, and timers that were due with it still fire")
+{
+    event_loop loop;
+    int fired = 0;
+    loop.after(5ms, [&] { throw std::runtime_error("unexpected"); });
+    loop.after(5ms, [&] { fired += 1; });
+    loop.after(30ms, [&] { fired += 1; });
+    raw_server server(loop, [](const auto&, std::string_view bytes) {
+        if (bytes.starts_with("bad"))
+            throw std::runtime_error("unexpected");
+    });
+    bool ended = false;
+    const auto conn = connection::open(loop, server.address(), 1s);
+    conn->setHandlers({ .onConnected = [&] { conn->write("bad"); },
+        .onData = nullptr,
+        .onEnd = [&](connection_end) { ended = true; },
+        .onWritten = nullptr });
+    loop.after(100ms, [&] { loop.stop(); });
+    loop.run();
+    CHECK(fired == 2);
+    CHECK(ended);
+    CHECK(loop.callbackFailures() == 2);
+    conn->abort();
+}
+
+TEST_CASE("a response that ends with its connection is reset, not closed, when it is broken off")
+{
+    // The caller speaks HTTP/1.0, so that the response has neither a length nor chunks.
+    event_loop loop;
+    auto service = http_service::open(loop,
+        { .address = { "127.0.0.1", 0 },
+            .limits = [] { return http_service_limits {}; },
+            .handler =
+                [&](const incoming_request& request, const std::shared_ptr<response_writer>& writer) {
+                    http_head head;
+                    head.status = 200;
+                    head.reason = "OK";
+                    writer->begin(head);
+                    writer->write("part");
+                    loop.after(20ms,
+                        [writer, whole = request.head.target == "/whole"] { whole ? writer->end() : writer->abort(); });
+                },
+            .onRejected = nullptr });
+    REQUIRE(service);
+    for (const bool whole : { true, false }) {
+        std::optional<connection_end> end;
+        const auto conn = connection::open(loop, { "127.0.0.1", (*service)->port() }, 1s);
+        conn->setHandlers(
+            { .onConnected = [&] { conn->write(whole ? "GET /whole HTTP/1.0\r\n\r\n" : "GET /cut HTTP/1.0\r\n\r\n"); },
+                .onData = nullptr,
+                .onEnd = [&](connection_end outcome) { end = outcome; },
+                .onWritten = nullptr });
+        loop.after(100ms, [&] { loop.stop(); });
+        loop.run();
+        CHECK(end == (whole ? connection_end::Closed : connection_end::Reset));
+        conn->abort();
+    }
+}
