Read odd entries of other writers without harm

Another operator reported: one entry that was deeply nested, had a number too large or a port out of range ended the machines that read the list, or they stopped following it.

Keys are bytes between VMs, which does not change the wire format.

--- a/balsamspring/gateway/page_codec_test.cc
+++ b/balsamspring/gateway/page_codec_test.cc
@@ -72,3 +72,15 @@
         CHECK((!page || page->records.size() <= 2));
     }
 }
+
+TEST_CASE("pages: odd entry: a key of any bytes is relayed, and the records beside it too")
+{
+    page_encoder encoder;
+    record_page page;
+    page.records
+        = { { "i-1", "{}", 1 }, { std::string("\xff\xfe\0", 3), std::string("\xff\0", 2), 2 }, { "", "x", 3 } };
+    page.nextOffset = 4;
+    const auto decoded = decodePage(encoder.encode(page));
+    REQUIRE(decoded);
+    requireSame(*decoded, page);
+}
--- a/balsamspring/gateway/record_store.h
+++ b/balsamspring/gateway/record_store.h
@@ -38,6 +38,8 @@
     std::vector<store_record> records;
     bool hasMore = false;
     std::uint64_t endOffset = 0;
+    // Key after which the next page starts, if it is not that of the last record.
+    std::string lastKey {};
 };
 
 // A partition and the member of the group that it is assigned to.
--- a/balsamspring/gateway/topic_follower.cc
+++ b/balsamspring/gateway/topic_follower.cc
@@ -53,8 +53,9 @@
             m_snapshotKeys.insert(record.key);
         report(record);
     }
-    if (page.hasMore && !page.records.empty())
-        return readSnapshot(page.records.back().key);
+    const std::string lastKey = page.lastKey.empty() && !page.records.empty() ? page.records.back().key : page.lastKey;
+    if (page.hasMore && !lastKey.empty())
+        return readSnapshot(lastKey);
     std::vector<std::string> missing;
     for (const auto& [key, offset] : m_newestOffset) {
         if (!m_snapshotKeys.contains(key) && offset < m_nextOffset)
