Obey what servers say about themselves: leaving, and a pause

Answers of requests, stage calls, releases and reports are read; those of requests only with the request's id. A notice binds the process that gave it: it outlives older records and a lapse of the entry, and ends with a new start time or address. While a whole pool pauses, what cannot be served in time is refused at once with a Retry-After beyond the first end. Releases to a paused server wait; reports are still asked. A pause is no failure of the server.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -44,18 +44,20 @@
         , random(seed)
         , config(configOptions(settings, options))
         , servers({}, [this](const server_entry& server, server_change change) { onServerChanged(server, change); })
+        , notices({}, servers, metrics, random)
         , balancer({}, settings.zone, random)
         , retryBudget(budgetOptions(settings))
         , quarantine({}, [this](const lost_prompt& lost, mono_time now) { onLostPrompt(lost, now); })
         , parts({}, random)
         , suspects({}, decoders.suspectTopic, store, quarantine, parts, metrics, random)
         , backends(loop, {})
-        , reports({}, loop, wire, backends, metrics)
-        , pieces({}, { loop, wire, servers, retryBudget, backends, reports, metrics })
+        , reports({}, loop, wire, backends, metrics, noticeHook())
+        , pieces({}, { loop, wire, servers, retryBudget, backends, reports, metrics, noticeHook() })
         , router({}, loop, pieces, metrics)
         , gatherer({}, loop, pieces, config, sharedOwnership)
-        , context { loop, wire, settings.zone, config, servers, balancer, retryBudget, stageTimes, quarantine, parts,
-            backends, reports, router, metrics, random, [this](const server_entry& server) { checkAlive(server); },
+        , context { loop, wire, settings.zone, config, servers, notices, balancer, retryBudget, stageTimes, quarantine,
+            parts, backends, reports, router, metrics, random,
+            [this](const server_entry& server) { checkAlive(server); },
             [this](fingerprint part, std::function<void(bool)> done) {
                 suspects.claimProbe(part, suspectFollower.nextOffset(), std::move(done));
             } }
@@ -73,6 +75,13 @@
     {
     }
 
+    std::function<void(const server_entry&, const backend_response&)> noticeHook()
+    {
+        return [this](const server_entry& server, const backend_response& response) {
+            notices.responseArrived(server, response, bootNow());
+        };
+    }
+
     duration serverPause() const { return fromSeconds(toSeconds(settings.drainLimit) * options.serverPollFraction); }
 
     follower_hooks followerHooks(std::string name, std::function<void(const store_record&)> onRecord)
@@ -460,6 +469,7 @@
     gateway_metrics metrics;
     config_state config;
     server_registry servers;
+    server_notices notices;
     server_balancer balancer;
     retry_budget retryBudget;
     stage_times stageTimes;
--- a/balsamspring/gateway/gateway_context.h
+++ b/balsamspring/gateway/gateway_context.h
@@ -10,6 +10,7 @@
 #include "balsamspring/gateway/part_quarantine.h"
 #include "balsamspring/gateway/repeat_budget.h"
 #include "balsamspring/gateway/server_balancer.h"
+#include "balsamspring/gateway/server_notices.h"
 #include "balsamspring/gateway/server_registry.h"
 #include "balsamspring/gateway/server_reports.h"
 #include "balsamspring/gateway/stage_times.h"
@@ -29,6 +30,7 @@
     zone_id zone;
     config_state& config;
     server_registry& servers;
+    server_notices& notices;
     server_balancer& balancer;
     retry_budget& retryBudget;
     stage_times& stageTimes;
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -161,11 +161,26 @@
         for (const piece_ticket ticket : target.queue.takeExpired(now)) {
             parts.loop.post([this, ticket] { fail(ticket, error_code::Expired, "deadline expired in the queue"); });
         }
+        refusePaused(id, target, now);
         while (auto call = target.queue.next(parts.servers.usable(id), now))
             send(id, target, *call, now);
         scheduleRecheck(id, target);
     }
 
+    // While all servers pause, work whose deadline passes before the first of them returns is refused at once.
+    void refusePaused(const pool_id& id, const pool_state& target, mono_time now)
+    {
+        const auto until = parts.servers.allPausedUntil(id);
+        if (!until)
+            return;
+        for (const auto& [ticket, active] : workByTicket) {
+            const auto waiting = static_cast<unsigned>(active.waiting.size());
+            const duration call = target.queue.expectedTime(std::min(waiting, target.queue.spec().batch));
+            if (active.work.pool == id && waiting > 0 && std::max(now, *until) + call > active.work.deadline)
+                parts.loop.post([this, ticket = ticket] { refuse(ticket, false); });
+        }
+    }
+
     // Time alone also makes servers available: blocks of servers end and results expire.
     void scheduleRecheck(const pool_id& id, pool_state& target)
     {
@@ -219,7 +234,12 @@
         call->timer = parts.loop.after(limit, [this, call] { finish(*call, exchange_outcome::Lost, "silent"); });
         parts.metrics.count("stage_calls", "sent");
         call->exchange = parts.backends.start(server->address, std::move(request),
-            { .onHead = [this, call](const http_head& head) { call->answer = parts.adapter.decodeResponse(head); },
+            { .onHead =
+                    [this, call](const http_head& head) {
+                        call->answer = parts.adapter.decodeResponse(head);
+                        if (parts.onResponse)
+                            parts.onResponse(call->server, call->answer);
+                    },
                 .onBody =
                     [this, call](std::string_view bytes) {
                         call->body += bytes;
@@ -456,9 +476,14 @@
             batch.pool = pool;
             batch.results.push_back(item);
         }
+        armReleases(options.releaseDelay);
+    }
+
+    void armReleases(duration delay)
+    {
         if (pendingReleases.empty() || releaseTimer)
             return;
-        releaseTimer = parts.loop.after(options.releaseDelay, [this] {
+        releaseTimer = parts.loop.after(delay, [this] {
             releaseTimer = 0;
             sendReleases();
         });
@@ -474,6 +499,11 @@
             const server_entry* server = parts.servers.findByAddress(serverAddress);
             if (!server)
                 continue;
+            // Results that are not freed before the end of the pause expire, or are freed then.
+            if (parts.servers.paused(*server)) {
+                pendingReleases[serverAddress] = batch;
+                continue;
+            }
             exchange_request request;
             std::vector<std::string> handles;
             for (const piece_result& item : batch.results)
@@ -481,12 +511,18 @@
             request.bytes = parts.adapter.encodeRelease(serverAddress, handles);
             request.maxIdle = options.idleReuse;
             parts.backends.start(serverAddress, std::move(request),
-                { .onHead = nullptr,
+                { .onHead =
+                        [this, entry = *server](const http_head& head) {
+                            if (parts.onResponse)
+                                parts.onResponse(entry, parts.adapter.decodeResponse(head));
+                        },
                     .onBody = nullptr,
-                    .onEnd = [this, batch = batch, id = server->id](exchange_outcome end) {
-                        releaseEnded(id, batch, end);
-                    } });
+                    .onEnd =
+                        [this, batch = batch, id = server->id](exchange_outcome end) {
+                            releaseEnded(id, batch, end);
+                        } });
         }
+        armReleases(options.pausedReleaseDelay);
     }
 
     void releaseEnded(const backend_id& server, const release_batch& batch, exchange_outcome end)
--- a/balsamspring/gateway/piece_service.h
+++ b/balsamspring/gateway/piece_service.h
@@ -52,6 +52,8 @@
 struct piece_service_options {
     unsigned attempts = 3; // maximum calls per piece
     duration releaseDelay = std::chrono::milliseconds(15); // batches the releases of results
+    // How often the end of a server's pause is looked for, to release its results.
+    duration pausedReleaseDelay = std::chrono::milliseconds(250);
     duration idleReuse = std::chrono::seconds(3);
     // The response to the largest call is much shorter.
     std::size_t maxResponseBytes = 1024 * 1024;
@@ -68,6 +70,8 @@
     exchange_client& backends;
     server_reports& reports;
     gateway_metrics& metrics;
+    // Called with the head of each answer of a server, if set.
+    std::function<void(const server_entry&, const backend_response&)> onResponse {};
 };
 
 // Not thread-safe: to be used on the thread of its event loop only.
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -80,6 +80,11 @@
 
 void request_session::start()
 {
+    const auto paused = m_context.servers.allPausedUntil(m_pool);
+    if (paused && *paused + expectedEngineTime() > m_deadline) {
+        refusePaused(m_pool);
+        return;
+    }
     m_context.retryBudget.requestArrived(m_pool, m_incoming.receivedAt);
     prepareStages();
     submitReadyStages();
@@ -90,6 +95,8 @@
     if (!keyStillValid() || refuseBlocked())
         return;
     const server_entry* server = chooseServer();
+    if (!server && refusePaused(m_pool))
+        return;
     if (!server)
         return m_mayHaveRun ? failAfterSend("no_other_server") : giveUp("no_server");
     const mono_time now = bootNow();
@@ -138,8 +145,11 @@
 void request_session::headArrived(const http_head& head)
 {
     m_response = m_context.adapter.decodeResponse(head);
+    const bool attributed = head.find(m_context.adapter.echoField) != nullptr;
+    if (attributed)
+        m_context.notices.responseArrived(*m_server, m_response, bootNow());
     // A refusal that names no request may be a copy of an earlier one.
-    if (m_response.notRun && !head.find(m_context.adapter.echoField)) {
+    if (m_response.notRun && !attributed) {
         m_context.metrics.count("call_failures", "unattributed_refusal");
         m_response.notRun = m_response.wrongServer = m_response.inputsMissing = false;
     }
@@ -335,6 +345,16 @@
     m_responseStarted ? abortResponse(cause) : failAfterSend(cause);
 }
 
+bool request_session::refusePaused(const pool_id& pool)
+{
+    const auto until = m_context.servers.allPausedUntil(pool);
+    if (!until)
+        return false;
+    m_retryAfter = std::max(duration::zero(), *until - bootNow());
+    giveUp("servers_paused");
+    return true;
+}
+
 bool request_session::mayRetry()
 {
     // Without the number of the last event, a second stream could not be joined to the first.
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -137,6 +137,8 @@
     void callRejected();
     void callTimedOut();
     bool mayRetry();
+    // If all servers of the pool have asked for a pause: ends the request, and has the caller return after the first.
+    bool refusePaused(const pool_id& pool);
     void armCallTimer(duration limit);
     // Watches over a silent stream.
     void checkStream();
--- a/balsamspring/gateway/request_session_stages.cc
+++ b/balsamspring/gateway/request_session_stages.cc
@@ -149,6 +149,8 @@
             { { "id", m_request.id.value() }, { "pool", m_route->stages[index].pool.value() },
                 { "stage", std::to_string(index) }, { "why", outcome.error().message } });
         m_overShare = outcome.error().code == error_code::QuotaExceeded;
+        if (refusePaused(m_route->stages[index].pool))
+            return;
         return giveUp(fmt::format("stage_{}", toString(outcome.error().code)));
     }
     stage.done = true;
--- a/balsamspring/gateway/server_registry.cc
+++ b/balsamspring/gateway/server_registry.cc
@@ -15,6 +15,10 @@
         return "removed";
     case server_change::Lapsed:
         return "lapsed";
+    case server_change::Paused:
+        return "paused";
+    case server_change::Resumed:
+        return "resumed";
     }
     return "removed";
 }
@@ -68,6 +72,100 @@
     }
 }
 
+const server_registry::server_notice* server_registry::noticeOf(const server_entry& server) const
+{
+    const auto found = m_notices.find(server.id);
+    const bool same = found != m_notices.end() && found->second.startedAtMs == server.startedAtMs
+        && found->second.address == server.address;
+    return same ? &found->second : nullptr;
+}
+
+server_registry::server_notice& server_registry::noteOn(const server_entry& server)
+{
+    if (!noticeOf(server))
+        m_notices[server.id] = { server.startedAtMs, server.address, false, std::nullopt, std::nullopt };
+    return m_notices.at(server.id);
+}
+
+bool server_registry::markLeaving(const server_entry& server)
+{
+    const server_entry* known = find(server.id);
+    // The answer of an earlier process does not bind the present one.
+    if (!known || known->startedAtMs != server.startedAtMs || known->address != server.address)
+        return false;
+    server_notice& notice = noteOn(server);
+    if (notice.leaving)
+        return false;
+    notice.leaving = true;
+    rebuildUsable(known->pool);
+    if (!known->draining)
+        m_onChange(*known, server_change::Draining);
+    return true;
+}
+
+void server_registry::pause(const server_entry& server, mono_time until, mono_time now)
+{
+    const server_entry* known = find(server.id);
+    if (!known || known->startedAtMs != server.startedAtMs || known->address != server.address || until <= now)
+        return;
+    server_notice& notice = noteOn(server);
+    const bool begins = !notice.pausedUntil;
+    notice.pausedUntil = std::max(until, notice.pausedUntil.value_or(until));
+    if (!begins)
+        return;
+    rebuildUsable(known->pool);
+    m_onChange(*known, server_change::Paused);
+}
+
+bool server_registry::paused(const server_entry& server) const
+{
+    const server_notice* notice = noticeOf(server);
+    return notice && notice->pausedUntil;
+}
+
+std::optional<mono_time> server_registry::allPausedUntil(const pool_id& pool) const
+{
+    if (!usable(pool).empty())
+        return std::nullopt;
+    std::optional<mono_time> first;
+    for (const auto& [id, notice] : m_notices) {
+        const server_entry* server = find(id);
+        if (!server || server->pool != pool || server->draining || notice.leaving || !notice.pausedUntil
+            || !noticeOf(*server))
+            continue;
+        first = std::min(first.value_or(*notice.pausedUntil), *notice.pausedUntil);
+    }
+    return first;
+}
+
+void server_registry::endPauses(mono_time now)
+{
+    std::vector<backend_id> resumed;
+    for (auto& [id, notice] : m_notices) {
+        if (notice.pausedUntil && *notice.pausedUntil <= now) {
+            notice.pausedUntil.reset();
+            resumed.push_back(id);
+        }
+        if (m_servers.contains(id))
+            notice.absentSince.reset();
+        else if (!notice.absentSince)
+            notice.absentSince = now;
+    }
+    std::erase_if(m_notices, [&](const auto& entry) {
+        const server_notice& notice = entry.second;
+        return (!notice.leaving && !notice.pausedUntil)
+            || (notice.absentSince && now - *notice.absentSince >= m_options.leavingMemory);
+    });
+    for (const backend_id& id : resumed) {
+        const auto found = m_servers.find(id);
+        if (found == m_servers.end())
+            continue;
+        const server_entry entry = found->second.entry;
+        rebuildUsable(entry.pool);
+        m_onChange(entry, server_change::Resumed);
+    }
+}
+
 void server_registry::storeLost(mono_time) { m_storeLost = true; }
 
 void server_registry::storeRegained(duration outage, mono_time now)
@@ -79,6 +177,7 @@
 
 void server_registry::expire(mono_time now)
 {
+    endPauses(now);
     if (m_storeLost || (m_storeRegainedAt && now - *m_storeRegainedAt < m_options.lapseGracePeriod))
         return;
     std::vector<backend_id> expired;
@@ -126,7 +225,8 @@
     auto& list = m_usable[pool];
     list.clear();
     for (const auto& [id, known] : m_servers) {
-        if (known.entry.pool == pool && !known.entry.draining)
+        const server_notice* notice = noticeOf(known.entry);
+        if (known.entry.pool == pool && !known.entry.draining && !(notice && (notice->leaving || notice->pausedUntil)))
             list.push_back(&known.entry);
     }
 }
--- a/balsamspring/gateway/server_registry.h
+++ b/balsamspring/gateway/server_registry.h
@@ -32,7 +32,8 @@
 };
 
 // Lapsed: the entry may have expired only because of an outage of the store, so the server stays usable for now.
-enum class server_change : std::uint8_t { Added, Restarted, Draining, Removed, Lapsed };
+// Paused: the server has asked for a pause, which ends with Resumed.
+enum class server_change : std::uint8_t { Added, Restarted, Draining, Removed, Lapsed, Paused, Resumed };
 
 std::string_view toString(server_change change);
 
@@ -41,6 +42,8 @@
     duration lapseGracePeriod = std::chrono::milliseconds(2200);
     // Entries may have expired during an outage of at least this length.
     duration minOutage = std::chrono::milliseconds(1500);
+    // How long it is remembered that a server without an entry was leaving. Its entry may come back.
+    duration leavingMemory = std::chrono::minutes(10);
 };
 
 class server_registry {
@@ -54,9 +57,17 @@
     // The entry of the id was removed or cannot be decoded. The server lapses instead of being removed if the entry may
     // have expired because of an outage of the store, unless the server was draining.
     void remove(const backend_id& id, mono_time now);
+    // The server itself said that it is leaving. Holds until it starts anew, whatever its entry says. Returns whether
+    // this was not known.
+    bool markLeaving(const server_entry& server);
+    // The server itself asked for a pause. Holds until it ends or the server starts anew.
+    void pause(const server_entry& server, mono_time until, mono_time now);
+    // When the first pause ends, if the pool has servers and all of them pause.
+    std::optional<mono_time> allPausedUntil(const pool_id& pool) const;
+    bool paused(const server_entry& server) const;
     void storeLost(mono_time now);
     void storeRegained(duration outage, mono_time now);
-    // Removes lapsed servers whose entries were not renewed within the grace period.
+    // Ends pauses, and removes lapsed servers whose entries were not renewed within the grace period.
     void expire(mono_time now);
 
     const server_entry* find(const backend_id& id) const;
@@ -72,6 +83,18 @@
         std::optional<mono_time> lapsedAt;
     };
 
+    // What a server said of itself. It binds only the process that said it.
+    struct server_notice {
+        std::int64_t startedAtMs = 0;
+        endpoint address;
+        bool leaving = false;
+        std::optional<mono_time> pausedUntil;
+        std::optional<mono_time> absentSince; // the server has no entry
+    };
+
+    const server_notice* noticeOf(const server_entry& server) const;
+    server_notice& noteOn(const server_entry& server);
+    void endPauses(mono_time now);
     void drop(const backend_id& id, server_change change);
     void rebuildUsable(const pool_id& pool);
 
@@ -79,6 +102,7 @@
     change_callback m_onChange;
     std::map<backend_id, known_server> m_servers;
     std::map<pool_id, std::vector<const server_entry*>> m_usable;
+    std::map<backend_id, server_notice> m_notices;
     // End of the last outage during which entries may have expired.
     std::optional<mono_time> m_storeRegainedAt;
     bool m_storeLost = false;
--- a/balsamspring/gateway/server_reports.cc
+++ b/balsamspring/gateway/server_reports.cc
@@ -25,12 +25,13 @@
 
 struct server_reports::state : std::enable_shared_from_this<server_reports::state> {
     state(server_reports_options initialOptions, event_loop& eventLoop, const wire_adapter& wire,
-        exchange_client& client, gateway_metrics& counters)
+        exchange_client& client, gateway_metrics& counters, response_hook hook)
         : options(initialOptions)
         , loop(eventLoop)
         , adapter(wire)
         , backends(client)
         , metrics(counters)
+        , onResponse(std::move(hook))
     {
     }
 
@@ -68,9 +69,13 @@
         item.timer = loop.after(options.timeout, [end] { end(std::nullopt); });
         item.exchange = backends.start(server.address, std::move(request),
             { .onHead =
-                    [weak, id = server.id](const http_head& head) {
-                        if (const auto self = weak.lock())
-                            self->questions[id].status = head.status;
+                    [weak, server](const http_head& head) {
+                        const auto self = weak.lock();
+                        if (!self)
+                            return;
+                        self->questions[server.id].status = head.status;
+                        if (self->onResponse)
+                            self->onResponse(server, self->adapter.decodeResponse(head));
                     },
                 .onBody =
                     [weak, id = server.id, end](std::string_view bytes) {
@@ -144,12 +149,13 @@
     const wire_adapter& adapter;
     exchange_client& backends;
     gateway_metrics& metrics;
+    response_hook onResponse;
     std::map<backend_id, question> questions;
 };
 
 server_reports::server_reports(server_reports_options options, event_loop& loop, const wire_adapter& adapter,
-    exchange_client& backends, gateway_metrics& metrics)
-    : m_state(std::make_shared<state>(options, loop, adapter, backends, metrics))
+    exchange_client& backends, gateway_metrics& metrics, response_hook onResponse)
+    : m_state(std::make_shared<state>(options, loop, adapter, backends, metrics, std::move(onResponse)))
 {
 }
 
--- a/balsamspring/gateway/server_reports.h
+++ b/balsamspring/gateway/server_reports.h
@@ -33,9 +33,11 @@
 public:
     // `report` is null unless the outcome is `Read`.
     using callback = std::function<void(report_outcome, const server_report* report)>;
+    // Called with the head of each answer.
+    using response_hook = std::function<void(const server_entry&, const backend_response&)>;
 
     server_reports(server_reports_options options, event_loop& loop, const wire_adapter& adapter,
-        exchange_client& backends, gateway_metrics& metrics);
+        exchange_client& backends, gateway_metrics& metrics, response_hook onResponse = nullptr);
     ~server_reports();
 
     // The callback runs later, never from within this call.
--- a/balsamspring/gateway/wire_adapter.h
+++ b/balsamspring/gateway/wire_adapter.h
@@ -69,6 +69,12 @@
     bool inputsMissing = false;
     // The response carries the server's signature and no content encoding.
     bool hasSignature = false;
+    // The server is about to leave and accepts no new requests.
+    bool leaving = false;
+    // The server turned the request away and wants none for this long; always positive.
+    std::optional<duration> pause {};
+    // The server asked for a pause of a length that cannot be read.
+    bool pauseUnreadable = false;
 };
 
 // What a backend server reports about its load. The values are some hundred milliseconds old.
