--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -415,6 +415,13 @@
 
 void request_session::askAboutRun()
 {
+    // A server that has asked for a pause is not asked either. That it answered shows that it is alive.
+    if (m_context.servers.paused(*m_server)) {
+        m_context.loop.post([self = shared_from_this(), asked = m_attempt] {
+            self->runStatusArrived(report_outcome::Unreadable, nullptr, asked);
+        });
+        return;
+    }
     m_context.reports.ask(
         *m_server, [self = shared_from_this(), asked = m_attempt](report_outcome outcome, const server_report* report) {
             self->runStatusArrived(outcome, report, asked);
