--- a/balsamspring/gateway/part_quarantine_test.cc
+++ b/balsamspring/gateway/part_quarantine_test.cc
@@ -101,7 +101,9 @@
         double due = 0;
         for (m_now = start; m_now < end; m_now += step) {
             due += m_options.requestsPerSecond * toSeconds(step);
-            for (; due >= 1; --due)
+            const auto arrivals = static_cast<unsigned>(due);
+            due -= arrivals;
+            for (unsigned i = 0; i < arrivals; ++i)
                 arrive();
             for (const duration wave : m_options.waves) {
                 if (m_now == start + wave)
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -80,6 +80,7 @@
 
 void request_session::start()
 {
+    m_started = true;
     const auto paused = m_context.servers.allPausedUntil(m_pool);
     if (paused && *paused + expectedEngineTime() > m_deadline) {
         refusePaused(m_pool);
@@ -467,11 +468,14 @@
     m_writer->begin(m_responseHead);
 }
 
-void request_session::recordSuccess()
+void request_session::recordSuccess(bool ran)
 {
     if (!m_server)
         return;
-    recordProof();
+    if (ran)
+        recordProof();
+    else
+        m_context.quarantine.dropped(m_attempt);
     m_context.balancer.succeeded(m_server->id, (m_firstEventSeen ? m_firstEventAt : bootNow()) - m_sentAt);
     m_server.reset();
 }
@@ -490,7 +494,7 @@
 {
     if (m_splitter.hasPartialEvent())
         return callFailed(call_failure::Lost, "cut_event");
-    recordSuccess();
+    recordSuccess(true);
     if (!m_responseStarted)
         beginResponse();
     m_writer->end();
@@ -509,7 +513,7 @@
     }
     const bool success = m_response.status < firstServerError;
     if (success) {
-        recordSuccess();
+        recordSuccess(isSuccess(m_response.status));
     } else {
         m_context.quarantine.dropped(m_attempt);
         m_context.balancer.abandoned(m_server->id);
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -145,7 +145,8 @@
     void askAboutRun();
     void runStatusArrived(report_outcome outcome, const server_report* report, attempt_id asked);
     bool mayReplaceStream();
-    void recordSuccess();
+    // `ran`: the response shows that the server has run the request.
+    void recordSuccess(bool ran);
     // The current server has run the request long enough to show that its content and its parts are harmless.
     void recordProof();
 
@@ -181,6 +182,8 @@
     fingerprint m_content;
     // Fingerprints of the parts of the prompt that other requests may share.
     std::vector<fingerprint> m_parts;
+    // The stages or the call of the request have begun.
+    bool m_started = false;
     // The request tests a blocked part of its prompt.
     bool m_probing = false;
     // The current server has run the request long enough.
--- a/balsamspring/gateway/request_session_admission.cc
+++ b/balsamspring/gateway/request_session_admission.cc
@@ -43,8 +43,8 @@
     const part_verdict verdict = m_context.parts.judge(m_parts, bootNow());
     if (verdict.decision == part_verdict::admission::Allowed)
         return false;
-    // A request whose admission began before a probe was due waits for its claim.
-    if (verdict.decision == part_verdict::admission::Probe && m_stages.empty() && !m_mayHaveRun)
+    // begin() claims the probe for a request that has not started.
+    if (verdict.decision == part_verdict::admission::Probe && !m_started)
         return false;
     m_retryAfter = std::max(duration::zero(), verdict.nextProbe);
     logLine(log_level::Info, "part_refused",
