--- a/balsamspring/gateway/event_splitter.cc
+++ b/balsamspring/gateway/event_splitter.cc
@@ -65,6 +65,8 @@
 
 } // namespace
 
+std::uint64_t eventNumber(const std::optional<std::string>& id) { return id ? parseNumber(*id).value_or(0) : 0; }
+
 std::vector<stream_event> event_splitter::feed(std::string_view bytes)
 {
     std::vector<stream_event> events;
--- a/balsamspring/gateway/event_splitter.h
+++ b/balsamspring/gateway/event_splitter.h
@@ -3,6 +3,7 @@
 // ids.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,9 @@
     std::optional<std::string> id;
 };
 
+// The ids of events count from 1. 0 for other ids.
+std::uint64_t eventNumber(const std::optional<std::string>& id);
+
 class event_splitter {
 public:
     // Appends the bytes and returns the events that are now complete.
--- a/balsamspring/server/run_body.cc
+++ b/balsamspring/server/run_body.cc
@@ -1,5 +1,7 @@
 #include "balsamspring/server/run_body.h"
 
+#include "balsamspring/base/json_nesting.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -13,30 +15,6 @@
 
 constexpr std::size_t maxSessionBytes = 256;
 
-// Depth of brackets outside strings. Counted before parsing, which uses stack or memory per level.
-bool nestsDeeperThan(std::string_view text, std::size_t limit)
-{
-    std::size_t depth = 0;
-    bool inString = false;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const char c = text[i];
-        if (inString) {
-            if (c == '\\')
-                ++i;
-            else if (c == '"')
-                inString = false;
-        } else if (c == '"') {
-            inString = true;
-        } else if (c == '[' || c == '{') {
-            if (++depth > limit)
-                return true;
-        } else if ((c == ']' || c == '}') && depth) {
-            --depth;
-        }
-    }
-    return false;
-}
-
 tl::unexpected<refusal> badRequest(std::string message)
 {
     return tl::make_unexpected(makeRefusal("bad_request", std::move(message)));
