--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -124,7 +124,7 @@
 
     state(piece_service_options initialOptions, piece_service_parts initialParts)
         : options(initialOptions)
-        , parts(initialParts)
+        , parts(std::move(initialParts))
     {
     }
 
@@ -569,7 +569,7 @@
 };
 
 piece_service::piece_service(piece_service_options options, piece_service_parts parts)
-    : m_state(std::make_unique<state>(options, parts))
+    : m_state(std::make_unique<state>(options, std::move(parts)))
 {
 }
 
