Publish the proof of a part whose block is the first record of the topic

Found while reading: offsets count from 0, and 0 also stood for none, so that such a proof stayed on its VM. Test: a proof of a part whose block is the first record of the topic is published (failed before).

--- a/balsamspring/gateway/part_quarantine.cc
+++ b/balsamspring/gateway/part_quarantine.cc
@@ -56,7 +56,7 @@
 {
     // Other VMs count a single crash on without any harm, so only more are worth a record.
     const bool publish = suspect.blocked || suspect.counted > 1;
-    std::uint64_t upTo = suspect.voidUpTo.value_or(0);
+    std::optional<std::uint64_t> upTo;
     bool changed = false;
     for (auto entry = suspect.crashes.begin(); entry != suspect.crashes.end();) {
         crash_evidence& evidence = entry->second;
@@ -68,11 +68,12 @@
         changed = changed || !evidence.disproved;
         evidence.disproved = true;
         if (evidence.offset)
-            upTo = std::max(upTo, *evidence.offset);
+            upTo = std::max(upTo.value_or(0), *evidence.offset);
         entry = evidence.offset ? suspect.crashes.erase(entry) : std::next(entry);
     }
     if (suspect.blocked && suspect.blockedAt < begunAt) {
-        upTo = std::max(upTo, suspect.blockOffset.value_or(0));
+        if (suspect.blockOffset)
+            upTo = std::max(upTo.value_or(0), *suspect.blockOffset);
         unblock(suspect);
         changed = true;
     }
@@ -80,11 +81,11 @@
         return;
     suspect.changedAt = now;
     countCrashes(suspect);
-    if (!publish || upTo <= suspect.voidUpTo.value_or(0))
+    if (!publish || !upTo || (suspect.voidUpTo && *upTo <= *suspect.voidUpTo))
         return;
     if (!suspect.disprovedUpTo)
         suspect.publishClearAt = spread(m_options.clearSpread, now);
-    suspect.disprovedUpTo = std::max(upTo, suspect.disprovedUpTo.value_or(0));
+    suspect.disprovedUpTo = std::max(*upTo, suspect.disprovedUpTo.value_or(0));
 }
 
 mono_time part_quarantine::spread(duration over, mono_time now)
--- a/balsamspring/gateway/part_quarantine_test.cc
+++ b/balsamspring/gateway/part_quarantine_test.cc
@@ -98,6 +98,16 @@
     CHECK_FALSE(fixture.refused({ harmful }, now + 1200ms));
 }
 
+TEST_CASE("a proof of a part whose block is the first record of the topic is published")
+{
+    quarantine_fixture fixture;
+    fixture.parts.apply({ .part = harmful, .event = part_event::Blocked }, 0, start);
+    fixture.parts.proven({ harmful }, start + 1s, start + 2s);
+    fixture.parts.tick(start + 3s);
+    REQUIRE(fixture.parts.takeRecords()
+        == std::vector { part_record { .part = harmful, .event = part_event::Cleared, .basis = 0 } });
+}
+
 TEST_CASE("a VM that starts learns blocked parts from a snapshot in any order")
 {
     const std::vector<std::pair<std::uint64_t, part_record>> records {
