Read the suspects' topic often enough for the relay

Cause: since the suspects are relayed, their VM held each read for 1 s, and a proof ages by two reads and a pause before the next one replaces it: 2.15 s, while the relay passes on nothing older than 1.2 s. Half of the time the other 194 VMs asked the store themselves.

Change: 0.4 s. A test compares the intervals of all relayed topics with the age that the relay allows (fails with 1 s).

--- a/balsamspring/gateway/gateway.h
+++ b/balsamspring/gateway/gateway.h
@@ -66,7 +66,8 @@
     // Maximum time for which the store, or the VM that relays the suspects, holds a read. A VM whose connection has
     // gone silent misses suspects for this long.
     duration suspectWait = std::chrono::milliseconds(1200);
-    duration relaySuspectWait = std::chrono::milliseconds(1000);
+    // While a read is held, the proof of the one before it ages, and the relay declines to pass on what it has.
+    duration relaySuspectWait = std::chrono::milliseconds(400);
     duration relaySuspectPause = std::chrono::milliseconds(150);
     // Without this delay, each VM would read every suspect record in a call of its own when many servers crash at once.
     duration suspectPause = std::chrono::seconds(1);
--- a/balsamspring/gateway/gateway_test.cc
+++ b/balsamspring/gateway/gateway_test.cc
@@ -1,11 +1,13 @@
 #include "balsamspring/gateway/config_state.h"
 #include "balsamspring/gateway/event_splitter.h"
+#include "balsamspring/gateway/gateway.h"
 #include "balsamspring/gateway/log_buffer.h"
 #include "balsamspring/gateway/repeat_budget.h"
 #include "balsamspring/gateway/server_balancer.h"
 #include "balsamspring/gateway/server_registry.h"
 #include "balsamspring/gateway/serving_config.h"
 #include "balsamspring/gateway/topic_follower.h"
+#include "balsamspring/gateway/topic_relay.h"
 
 #include <deque>
 #include <utility>
@@ -56,6 +58,18 @@
     CHECK(config.match("c.example", "/x/") == nullptr);
 }
 
+TEST_CASE("the VM that relays a topic reads it so often that the other VMs need not ask the store")
+{
+    // When suspects were read every 1.15 s, the proof was too old for the relay half of the time, and 195 VMs read them
+    // from the store.
+    const gateway_options options;
+    const duration margin = 150ms;
+    const duration maxAge = relay_options {}.maxProofAge;
+    CHECK(2 * options.relayConfigWait + margin <= maxAge);
+    CHECK(2 * options.relaySuspectWait + options.relaySuspectPause + margin <= maxAge);
+    CHECK(options.relayServerPause + margin <= maxAge);
+}
+
 TEST_CASE("older configuration versions are ignored, and keys are trusted only for a limited time after a confirmation")
 {
     config_state state({ .keyTrustDuration = 4700ms, .strictRevocation = true });
