--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -49,8 +49,8 @@
     m_file.flush();
 }
 
-machine::machine(event_loop& loop, std::vector<std::string> command, std::string name, std::string address,
-    endpoint store, const std::string& directory, const gateway_bounds& bounds)
+machine::machine(event_loop& loop, std::vector<std::string> command, std::string name, const std::string& address,
+    const endpoint& store, const std::string& directory, const gateway_bounds& bounds)
     : m_command(std::move(command))
     , m_name(std::move(name))
     , m_frontend { address, freePort(loop, address) }
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -45,8 +45,8 @@
 class machine {
 public:
     // `command`: the run command of the deploy file. `address`: a loopback address that no other machine has.
-    machine(event_loop& loop, std::vector<std::string> command, std::string name, std::string address, endpoint store,
-        const std::string& directory, const gateway_bounds& bounds);
+    machine(event_loop& loop, std::vector<std::string> command, std::string name, const std::string& address,
+        const endpoint& store, const std::string& directory, const gateway_bounds& bounds);
     ~machine();
     machine(const machine&) = delete;
     machine& operator=(const machine&) = delete;
