End what a call holds with its owner

Cause: the session reported the end of an attempt to the quarantine by hand, on each way to the end. An unsigned answer, a stream that ends inside an event and a refused continuation did not. The attempt stayed in the quarantine for good; if its content was suspected, its server was kept free for it.

Change: server_call owns the attempt and the place at the balancer, and ends both with itself. The session holds one at a time. No way out of a call can forget it any more.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -509,7 +509,12 @@
 {
 }
 
-gateway::~gateway() = default;
+gateway::~gateway()
+{
+    // Callbacks that the loop still holds keep sessions alive, but not what their calls refer to.
+    for (const auto& session : m_state->sessions)
+        session->abandon();
+}
 
 result<void> gateway::start() { return m_state->start(); }
 
--- a/balsamspring/gateway/gateway_test.cc
+++ b/balsamspring/gateway/gateway_test.cc
@@ -4,6 +4,7 @@
 #include "balsamspring/gateway/log_buffer.h"
 #include "balsamspring/gateway/repeat_budget.h"
 #include "balsamspring/gateway/server_balancer.h"
+#include "balsamspring/gateway/server_call.h"
 #include "balsamspring/gateway/server_registry.h"
 #include "balsamspring/gateway/serving_config.h"
 #include "balsamspring/gateway/topic_follower.h"
@@ -86,6 +87,34 @@
     CHECK_FALSE(state.keysTrusted(start + 4701ms));
 }
 
+TEST_CASE("a call whose outcome nobody reported ends at the quarantine and at the balancer with its owner")
+{
+    // An attempt that stays in the quarantine keeps its server from running anything else.
+    random_engine random(1);
+    crash_quarantine quarantine({});
+    server_balancer balancer({}, zone_id("z1"), random);
+    const server_entry server = makeServer("s1");
+    const fingerprint suspected(1);
+    const fingerprint other(2);
+    const auto begin = [&](std::uint64_t attempt) {
+        return std::make_unique<server_call>(
+            quarantine, balancer, server, attempt_id(attempt), suspected, std::vector<fingerprint>(), start);
+    };
+    begin(1)->connectionLost(start);
+    quarantine.connectRefused(server.id, start);
+    REQUIRE(quarantine.quarantineStatus(suspected, start) == quarantine_status::Suspect);
+    auto call = begin(2);
+    CHECK_FALSE(quarantine.mayStart(other, server.id, start));
+    CHECK(balancer.inFlight(server.id) == 1);
+    SECTION("nothing was reported") { }
+    SECTION("the result for the balancer alone was reported") { call->failed(call_failure::Lost, start); }
+    SECTION("a late failure after a result") { call->rejected(start), call->failed(call_failure::Lost, start); }
+    call.reset();
+    CHECK(quarantine.mayStart(other, server.id, start));
+    CHECK(quarantine.mayStart(suspected, server.id, start));
+    CHECK(balancer.inFlight(server.id) == 0);
+}
+
 TEST_CASE("the registry stores each server under its own id")
 {
     // put() once read the id from an entry that it had already moved from, so that all servers replaced one another.
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -90,7 +90,6 @@
     if (!server)
         return m_mayHaveRun ? failAfterSend("no_other_server") : giveUp("no_server");
     const mono_time now = bootNow();
-    m_server = *server;
     m_tried.insert(server->id);
     m_attempts += 1;
     m_sentAt = now;
@@ -100,10 +99,8 @@
     m_serverBegan = false;
     m_otherAnswer = false;
     m_proven = false;
-    m_attempt = attempt_id(nextAttempt());
-    m_context.quarantine.started(m_attempt, m_content, server->id, now,
-        { .parts = m_parts, .serverGeneration = static_cast<std::uint64_t>(server->startedAtMs) });
-    m_context.balancer.started(server->id);
+    m_call = std::make_unique<server_call>(
+        m_context.quarantine, m_context.balancer, *server, attempt_id(nextAttempt()), m_content, m_parts, now);
     forward_fields fields;
     fields.remaining = remaining();
     fields.server = server->id;
@@ -137,7 +134,7 @@
     m_response = m_context.adapter.decodeResponse(head);
     const bool attributed = head.find(m_context.adapter.echoField) != nullptr;
     if (attributed)
-        m_context.notices.responseArrived(*m_server, m_response, bootNow());
+        m_context.notices.responseArrived(m_call->server(), m_response, bootNow());
     // A refusal that names no request may be a copy of an earlier one.
     if (m_response.notRun && !attributed) {
         m_context.metrics.count("call_failures", "unattributed_refusal");
@@ -168,10 +165,8 @@
     if (m_responseBody.size() <= m_options.maxBufferedBytes)
         return;
     // A refusal or an invalid response may have an endless body, which is not kept.
-    if (!final || m_firstEventSeen) {
-        m_context.quarantine.dropped(m_attempt);
+    if (!final || m_firstEventSeen)
         return callFailed(call_failure::Lost, "endless_answer");
-    }
     beginResponse();
     m_writer->write(m_responseBody);
     m_responseBody.clear();
@@ -192,16 +187,15 @@
         return;
     switch (end) {
     case exchange_outcome::NotSent:
-        m_context.quarantine.dropped(m_attempt);
         if (refused)
-            m_context.quarantine.connectRefused(m_server->id, bootNow());
+            m_context.quarantine.connectRefused(m_call->server().id, bootNow());
         else
-            m_context.quarantine.unreachable(m_server->id, bootNow());
+            m_context.quarantine.unreachable(m_call->server().id, bootNow());
         return callFailed(call_failure::Unreachable, "not_reached");
     case exchange_outcome::Lost:
     case exchange_outcome::Malformed:
-        m_context.quarantine.connectionLost(m_attempt, bootNow());
-        m_context.checkAlive(*m_server);
+        m_call->connectionLost(bootNow());
+        m_context.checkAlive(m_call->server());
         return callFailed(call_failure::Lost, toString(end));
     case exchange_outcome::Complete:
         break;
@@ -215,10 +209,8 @@
     // A server refused to resume the stream.
     if (m_firstEventSeen)
         return callFailed(call_failure::ErrorResponse, fmt::format("status_{}", m_response.status));
-    if (m_response.status >= firstServerError && m_route->idempotent() && mayRetry()) {
-        m_context.quarantine.dropped(m_attempt);
+    if (m_response.status >= firstServerError && m_route->idempotent() && mayRetry())
         return callFailed(call_failure::ErrorResponse, fmt::format("status_{}", m_response.status));
-    }
     deliverResponse();
 }
 
@@ -226,18 +218,15 @@
 void request_session::callRejected()
 {
     const mono_time now = bootNow();
-    m_context.quarantine.dropped(m_attempt);
     m_context.metrics.count("rejections", fmt::format("status_{}", m_response.status));
     logLine(log_level::Info, "call_rejected",
-        { { "id", m_request.id.value() }, { "server", m_server->id.value() },
+        { { "id", m_request.id.value() }, { "server", m_call->server().id.value() },
             { "status", std::to_string(m_response.status) }, { "attempt", std::to_string(m_attempts) } });
-    if (m_response.inputsMissing || m_response.status == statusBadRequest)
-        m_context.balancer.abandoned(m_server->id);
-    else if (m_response.wrongServer) // The registry entry is stale: another server has this address.
-        m_context.balancer.failed(m_server->id, call_failure::Unreachable, now);
-    else
-        m_context.balancer.rejected(m_server->id, now);
-    m_server.reset();
+    if (m_response.wrongServer) // The registry entry is stale: another server has this address.
+        m_call->failed(call_failure::Unreachable, now);
+    else if (!m_response.inputsMissing && m_response.status != statusBadRequest)
+        m_call->rejected(now);
+    m_call.reset();
     m_context.loop.cancel(m_callTimer);
     if (m_response.inputsMissing) {
         if (m_attempts < m_route->maxAttempts && expectedRemakeTime() < remaining()
@@ -267,7 +256,7 @@
     const mono_time now = bootNow();
     m_context.metrics.count("call_failures", cause);
     logLine(log_level::Warn, "call_failed",
-        { { "id", m_request.id.value() }, { "route", m_route->name }, { "server", m_server->id.value() },
+        { { "id", m_request.id.value() }, { "route", m_route->name }, { "server", m_call->server().id.value() },
             { "how", std::string(cause) }, { "attempt", std::to_string(m_attempts) },
             { "elapsed_ms", milliseconds(now - m_sentAt) },
             // Shows what the requests on a crashed server had in common, and which of them had not begun there.
@@ -277,8 +266,8 @@
         m_exchange->cancel();
     m_exchange = nullptr;
     m_context.loop.cancel(m_callTimer);
-    m_context.balancer.failed(m_server->id, kind, now);
-    m_server.reset();
+    m_call->failed(kind, now);
+    m_call.reset();
     if (kind == call_failure::Unreachable) {
         // No server received the request, so this does not count as one of the route's attempts.
         m_attempts -= 1;
@@ -326,7 +315,6 @@
     // A response that has begun cannot be retried.
     if (m_done || !m_exchange || m_responseStarted || !mayRetry())
         return;
-    m_context.quarantine.dropped(m_attempt);
     callFailed(call_failure::TimedOut, "silent");
 }
 
@@ -345,23 +333,21 @@
 
 void request_session::recordSuccess(bool ran)
 {
-    if (!m_server)
+    if (!m_call)
         return;
     if (ran)
         recordProof();
-    else
-        m_context.quarantine.dropped(m_attempt);
-    m_context.balancer.succeeded(m_server->id, (m_firstEventSeen ? m_firstEventAt : bootNow()) - m_sentAt);
-    m_server.reset();
+    m_call->succeeded((m_firstEventSeen ? m_firstEventAt : bootNow()) - m_sentAt);
+    m_call.reset();
 }
 
 void request_session::recordProof()
 {
-    if (m_proven)
+    if (m_proven || !m_call)
         return;
     m_proven = true;
     const mono_time now = bootNow();
-    m_context.quarantine.succeeded(m_attempt, now);
+    m_call->proven(now);
     m_context.parts.proven(m_parts, m_serverBegan ? m_serverBeganAt : m_sentAt, now);
 }
 
@@ -370,19 +356,14 @@
     // The server did not state that the request was not executed, so the caller must not get a status that says so.
     if (signalsNotRun(m_response.status)) {
         m_mayHaveRun = true;
-        m_context.balancer.failed(m_server->id, call_failure::ErrorResponse, bootNow());
-        m_context.quarantine.dropped(m_attempt);
-        m_server.reset();
+        m_call->failed(call_failure::ErrorResponse, bootNow());
+        m_call.reset();
         return failAfterSend(fmt::format("status_{}", m_response.status));
     }
     const bool success = m_response.status < firstServerError;
-    if (success) {
+    if (success)
         recordSuccess(isSuccess(m_response.status));
-    } else {
-        m_context.quarantine.dropped(m_attempt);
-        m_context.balancer.abandoned(m_server->id);
-        m_server.reset();
-    }
+    m_call.reset();
     if (m_responseStarted)
         m_writer->end();
     else
@@ -451,6 +432,8 @@
     finish("caller_left", m_responseStarted ? "in_answer" : "waiting");
 }
 
+void request_session::abandon() { m_call.reset(); }
+
 duration request_session::remaining() const { return m_deadline - bootNow(); }
 
 // Adds jitter, so that the retries of refused callers spread over the usual duration of a burst.
@@ -472,13 +455,10 @@
     m_context.loop.cancel(m_deadlineTimer);
     m_context.loop.cancel(m_callTimer);
     m_context.loop.cancel(m_stageTimer);
-    if (m_exchange) {
+    if (m_exchange)
         m_exchange->cancel();
-        m_context.quarantine.dropped(m_attempt);
-    }
     m_exchange = nullptr;
-    if (m_server)
-        m_context.balancer.abandoned(m_server->id);
+    m_call.reset();
     for (stage_progress& stage : m_stages) {
         if (stage.ticket)
             m_context.pieces.cancel(stage.ticket);
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -5,6 +5,7 @@
 #include "balsamspring/gateway/event_splitter.h"
 #include "balsamspring/gateway/gateway_context.h"
 #include "balsamspring/gateway/piece_router.h"
+#include "balsamspring/gateway/server_call.h"
 #include "balsamspring/gateway/stream_watch.h"
 #include "balsamspring/net/http_service.h"
 
@@ -65,6 +66,8 @@
     void begin();
     // Refuses the request if no part of it has been sent to a server yet.
     void rejectIfWaiting(std::string_view reason);
+    // Ends the call to a server without an answer to the caller, at the end of the gateway.
+    void abandon();
 
 private:
     struct stage_progress {
@@ -196,10 +199,9 @@
     std::vector<stage_progress> m_stages;
 
     std::shared_ptr<client_exchange> m_exchange;
-    std::optional<server_entry> m_server;
+    std::unique_ptr<server_call> m_call; // null while no call is in progress
     std::set<backend_id> m_tried;
     mono_time m_sentAt {};
-    attempt_id m_attempt;
     unsigned m_attempts = 0;
     // A server may have begun to execute the request.
     bool m_mayHaveRun = false;
--- a/balsamspring/gateway/request_session_stream.cc
+++ b/balsamspring/gateway/request_session_stream.cc
@@ -12,10 +12,8 @@
         const event_order order = m_events.check(event);
         if (order == event_order::Duplicate)
             continue;
-        if (order == event_order::Gap || order == event_order::Foreign) {
-            m_context.quarantine.dropped(m_attempt);
+        if (order == event_order::Gap || order == event_order::Foreign)
             return callFailed(call_failure::Lost, order == event_order::Gap ? "event_gap" : "foreign_event");
-        }
         if (!m_firstEventSeen) {
             m_firstEventSeen = true;
             m_firstEventAt = now;
@@ -35,10 +33,8 @@
     }
     if (m_serverBegan && now - m_serverBeganAt >= m_options.crashProof)
         recordProof();
-    if (m_splitter.partialBytes() > m_options.maxEventBytes) {
-        m_context.quarantine.dropped(m_attempt);
+    if (m_splitter.partialBytes() > m_options.maxEventBytes)
         return callFailed(call_failure::Lost, "endless_event");
-    }
     m_watch.bytesArrived(bytes.size(), now);
     applyBackpressure();
     if (!m_callTimer && m_route->idempotent())
@@ -65,7 +61,6 @@
             m_context.metrics.count("streams_kept", toString(m_watch.loss()));
             return;
         }
-        m_context.quarantine.dropped(m_attempt);
         return callFailed(m_watch.loss() == stream_loss::NotBegun ? call_failure::NotBegun : call_failure::TimedOut,
             toString(m_watch.loss()));
     }
@@ -81,21 +76,20 @@
 void request_session::askAboutRun()
 {
     // A server that has asked for a pause is not asked either. That it answered shows that it is alive.
-    if (m_context.servers.paused(*m_server)) {
-        m_context.loop.post([self = shared_from_this(), asked = m_attempt] {
+    if (m_context.servers.paused(m_call->server())) {
+        m_context.loop.post([self = shared_from_this(), asked = m_call->attempt()] {
             self->runStatusArrived(report_outcome::Unreadable, nullptr, asked);
         });
         return;
     }
-    m_context.reports.ask(
-        *m_server, [self = shared_from_this(), asked = m_attempt](report_outcome outcome, const server_report* report) {
-            self->runStatusArrived(outcome, report, asked);
-        });
+    m_context.reports.ask(m_call->server(),
+        [self = shared_from_this(), asked = m_call->attempt()](
+            report_outcome outcome, const server_report* report) { self->runStatusArrived(outcome, report, asked); });
 }
 
 void request_session::runStatusArrived(report_outcome outcome, const server_report* report, attempt_id asked)
 {
-    if (m_done || !m_exchange || m_attempt != asked)
+    if (m_done || !m_exchange || m_call->attempt() != asked)
         return;
     const mono_time now = bootNow();
     if (outcome == report_outcome::Unanswered) {
