Bound the age of what a VM knows of a topic, not each wait

Cause: a read through the suspended relay (1.25 s), the pause after the read of the store (1.4 s) and the next read through the same relay add up to 2.65 s between two successful reads.

Change: read_schedule reads the store itself when the newest proof is 0.8 of the limit old, limits how long the relay may hold a read to what remains, and shortens the pause before a question to the relay. Server entries go by the drain limit, configurations by the time after which they must be in force, which is read from the settings now.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -7,6 +7,7 @@
 #include "balsamspring/gateway/suspect_sharing.h"
 #include "balsamspring/gateway/topic_follower.h"
 
+#include <algorithm>
 #include <set>
 
 #include <fmt/core.h>
@@ -73,6 +74,16 @@
               relayed.store(), followerHooks("suspects", [this](const store_record& item) { suspectRecord(item); }),
               random)
     {
+        relayed.setSchedule(decoders.serverTopic, scheduleFor(settings.drainLimit));
+        relayed.setSchedule(decoders.configTopic, scheduleFor(settings.configApplyLimit));
+    }
+
+    // The rest of the limit is left for the read of the store and for requests on their way to a server.
+    read_schedule_options scheduleFor(duration limit) const
+    {
+        read_schedule_options schedule;
+        schedule.proofLimit = fromSeconds(toSeconds(limit) * options.proofAgeFraction);
+        return schedule;
     }
 
     std::function<void(const server_entry&, const backend_response&)> noticeHook()
@@ -103,6 +114,7 @@
                 [this, followsConfig, topic](mono_time provenAt, std::uint64_t next) {
                     if (followsConfig && !configUnreadable)
                         config.confirm(provenAt);
+                    relayed.proven(topic, provenAt);
                     relayed.relay(topic).advance(next, provenAt, bootNow());
                     updatePolling();
                 },
@@ -334,7 +346,7 @@
             pause = options.relayServerPause;
         else if (relayed.isRelayed(decoders.serverTopic))
             pause = options.relayedServerPause;
-        serverFollower.setPolling(duration::zero(), pause);
+        serverFollower.setPolling(duration::zero(), relayed.pauseBeforeRead(decoders.serverTopic, pause));
         if (relayed.relays(decoders.suspectTopic))
             suspectFollower.setPolling(options.relaySuspectWait, options.relaySuspectPause);
         else if (relayed.isRelayed(decoders.suspectTopic))
--- a/balsamspring/gateway/gateway.h
+++ b/balsamspring/gateway/gateway.h
@@ -30,6 +30,7 @@
     duration revocationLimit = std::chrono::seconds(5); // No request may be executed for a key revoked longer ago.
     bool strictRevocation = true;
     duration drainLimit = std::chrono::seconds(2); // A server that leaves receives no new work after this time.
+    duration configApplyLimit = std::chrono::seconds(2); // A new configuration is in force after this time.
     duration stopLimit = std::chrono::seconds(8); // Time from SIGTERM to SIGKILL.
     double retryBudgetRatio = 0.2;
     duration retryBudgetWindow = std::chrono::seconds(10);
@@ -58,6 +59,9 @@
     double minGatherMbps = 50;
     // Delay between two reads of the server entries, as a fraction of the drain limit.
     double serverPollFraction = 0.7;
+    // Age of the newest proof at which a VM reads the server entries or the configuration from the store, as a fraction
+    // of the time after which changes must have taken effect.
+    double proofAgeFraction = 0.8;
     // Read intervals of the VM that relays records to all others.
     duration relayConfigWait = std::chrono::milliseconds(500);
     duration relayServerPause = std::chrono::milliseconds(250);
--- a/balsamspring/gateway/relayed_store.cc
+++ b/balsamspring/gateway/relayed_store.cc
@@ -24,7 +24,7 @@
 {
     exchange_client_options client;
     client.connectTimeout = options.connectTimeout;
-    client.idleLimit = options.wait * 2;
+    client.idleLimit = options.idleReuse;
     return client;
 }
 
@@ -56,19 +56,25 @@
 
     void read(const std::string& topic, std::uint64_t from, duration wait, record_store::reply<record_page> reply)
     {
-        const auto owner = ownership ? ownership->remoteOwner(pool_id(topic), bootNow()) : std::nullopt;
+        const mono_time now = bootNow();
+        const auto owner = ownership ? ownership->remoteOwner(pool_id(topic), now) : std::nullopt;
         if (!owner) {
             relayedTopics.erase(topic);
             return direct.readFrom(topic, from, wait, std::move(reply));
         }
+        const auto relayWait = scheduleOf(topic).schedule.relayWait(now);
+        if (!relayWait) {
+            metrics.count("relayed_reads", "no_time");
+            return direct.readFrom(topic, from, duration::zero(), std::move(reply));
+        }
         auto peerRead = std::make_shared<peer_read>();
         const auto end = [this, peerRead, owner = *owner, topic, from, wait, reply](std::string_view outcome) {
             finish(*peerRead, owner, topic, from, wait, outcome, reply);
         };
-        peerRead->timer = loop.after(options.wait + options.unreachableMargin, [end] { end("silent"); });
+        peerRead->timer = loop.after(*relayWait + scheduleOf(topic).options.relayMargin, [end] { end("silent"); });
         exchange_request request;
-        request.bytes = encodeReadRequest(*owner, topic, from, options.wait);
-        request.maxIdle = options.wait * 2;
+        request.bytes = encodeReadRequest(*owner, topic, from, *relayWait);
+        request.maxIdle = options.idleReuse;
         auto exchange = peers.start(*owner, std::move(request),
             { .onHead = [peerRead](const http_head& head) { peerRead->status = head.status; },
                 .onBody = [peerRead](std::string_view bytes) { peerRead->body += bytes; },
@@ -112,12 +118,29 @@
         direct.readFrom(topic, from, complete ? wait : duration::zero(), reply);
     }
 
+    struct topic_schedule {
+        explicit topic_schedule(const read_schedule_options& scheduleOptions)
+            : options(scheduleOptions)
+            , schedule(scheduleOptions)
+        {
+        }
+
+        read_schedule_options options;
+        read_schedule schedule;
+    };
+
+    topic_schedule& scheduleOf(const std::string& topic)
+    {
+        return schedules.try_emplace(topic, read_schedule_options {}).first->second;
+    }
+
     relayed_store_options options;
     event_loop& loop;
     const record_store& direct;
     gateway_metrics& metrics;
     exchange_client peers;
     record_store relayed;
+    std::map<std::string, topic_schedule> schedules;
     std::set<std::string> relayedTopics; // Topics whose last read another VM answered.
     std::map<std::string, page_encoder> encoders; // By topic, since offsets belong to a topic.
     pool_ownership* ownership = nullptr;
@@ -134,6 +157,24 @@
 
 void relayed_store::setOwnership(pool_ownership* ownership) { m_state->ownership = ownership; }
 
+void relayed_store::setSchedule(const std::string& topic, const read_schedule_options& options)
+{
+    m_state->schedules.insert_or_assign(topic, state::topic_schedule(options));
+}
+
+void relayed_store::proven(const std::string& topic, mono_time provenAt)
+{
+    m_state->scheduleOf(topic).schedule.proven(provenAt);
+}
+
+duration relayed_store::pauseBeforeRead(const std::string& topic, duration usual) const
+{
+    // Without a relay, the next read asks the store.
+    if (!m_state->ownership || relays(topic))
+        return usual;
+    return m_state->scheduleOf(topic).schedule.pauseBeforeRelay(usual, bootNow());
+}
+
 const record_store& relayed_store::store() const { return m_state->relayed; }
 
 topic_relay& relayed_store::relay(const std::string& topic)
--- a/balsamspring/gateway/relayed_store.h
+++ b/balsamspring/gateway/relayed_store.h
@@ -4,6 +4,7 @@
 
 #include "balsamspring/gateway/gateway_metrics.h"
 #include "balsamspring/gateway/pool_ownership.h"
+#include "balsamspring/gateway/read_schedule.h"
 #include "balsamspring/gateway/record_store.h"
 #include "balsamspring/gateway/topic_relay.h"
 #include "balsamspring/net/http_exchange.h"
@@ -19,11 +20,8 @@
 inline constexpr std::string_view followPath = "/v1/records";
 
 struct relayed_store_options {
-    // Maximum time for which the other VM may hold a read.
-    duration wait = std::chrono::milliseconds(1000);
-    // Time beyond `wait` after which the other VM is considered unreachable.
-    duration unreachableMargin = std::chrono::milliseconds(250);
     duration connectTimeout = std::chrono::milliseconds(250);
+    duration idleReuse = std::chrono::seconds(2); // longest idle time of a connection that is reused
 };
 
 class relayed_store {
@@ -35,6 +33,12 @@
 
     // Without an ownership, every call goes to the store. The ownership must outlive this object.
     void setOwnership(pool_ownership* ownership);
+    // Sets when the store has to be read instead of the other VM. Without it, the records may be of any age.
+    void setSchedule(const std::string& topic, const read_schedule_options& options);
+    // Reports that the store had no newer records of the topic at `provenAt` than those that were read.
+    void proven(const std::string& topic, mono_time provenAt);
+    // Time until the next read of the topic, at most `usual`.
+    duration pauseBeforeRead(const std::string& topic, duration usual) const;
     // Relays `readFrom` as described above. All other calls go to the store.
     const record_store& store() const;
     // The relay from which this VM answers reads of the topic by other VMs.
