Count a page as a proof only if it reaches the end of its topic

Cause: the store limits a page to 1 MB, and each page counted as a proof that no newer record existed. After the first page of a backlog the keys of an old version were trusted until the next pages had been read, also by the VMs that read through a relay.

Change: pages carry the end of the topic, and the follower confirms only what reaches an end that the topic had. It reads the rest at once.

--- a/balsamspring/gateway/gateway_test.cc
+++ b/balsamspring/gateway/gateway_test.cc
@@ -347,7 +347,11 @@
     follower_hooks hooks()
     {
         return { .now = [this] { return now; },
-            .after = [this](duration, std::function<void()> action) { scheduledAction = std::move(action); },
+            .after =
+                [this](duration delay, std::function<void()> action) {
+                    scheduledDelay = delay;
+                    scheduledAction = std::move(action);
+                },
             .onRecord
             = [this](const store_record& record) { reported.push_back(record.key + (record.value ? "+" : "-")); },
             .onMissing = [this](const std::string& key) { reported.push_back(key + "?"); },
@@ -376,6 +380,7 @@
     record_store::reply<newest_page> newest;
     record_store::reply<record_page> tail;
     std::function<void()> scheduledAction;
+    duration scheduledDelay {};
     std::vector<std::string> reads;
     std::vector<std::string> reported;
     mono_time now = start;
@@ -428,6 +433,59 @@
     CHECK(script.reads.back() == "read 30 wait");
 }
 
+TEST_CASE("a page that ends before the end of the topic proves nothing, and the rest is read at once")
+{
+    // The first page of a backlog counted as a proof that no newer record existed, so that a revoked key was accepted.
+    scripted_store script;
+    random_engine random(1);
+    topic_follower follower({ .topic = "t", .wait = 2s, .pause = 1s }, script.store, script.hooks(), random);
+    follower.start();
+    script.answerNewest(newest_page { {}, false, 7 });
+    REQUIRE(script.confirmedAt == start);
+    script.now += 1s;
+    script.answerTail(record_page { { { "a", "1", 7 } }, 8, {}, 10 });
+    CHECK(script.confirmedAt == start);
+    CHECK(script.scheduledDelay == 0s);
+    script.now += 1s;
+    script.scheduledAction();
+    SECTION("the next page reaches the end")
+    {
+        script.answerTail(record_page { { { "a", "2", 8 }, { "a", "3", 9 } }, 10, {}, 10 });
+        CHECK(script.confirmedAt == start + 2s);
+        CHECK(script.scheduledDelay == 1s);
+    }
+    SECTION("the topic grows: the end of the first page is reached")
+    {
+        script.answerTail(record_page { { { "a", "2", 8 }, { "a", "3", 9 } }, 10, {}, 12 });
+        CHECK(script.confirmedAt == start);
+        script.now += 1s;
+        script.scheduledAction();
+        script.answerTail(record_page { { { "a", "4", 10 }, { "a", "5", 11 } }, 12, {}, 14 });
+        CHECK(script.confirmedAt == start + 2s);
+        CHECK(script.scheduledDelay == 0s);
+    }
+    SECTION("a page without progress is a failure")
+    {
+        script.answerTail(record_page { {}, 8, {}, 10 });
+        CHECK(script.confirmedAt == start);
+        CHECK(script.lost == 1);
+        CHECK(script.scheduledDelay > 0s);
+    }
+}
+
+TEST_CASE("a snapshot whose page names no key to continue after is read again")
+{
+    scripted_store script;
+    random_engine random(1);
+    topic_follower follower({ .topic = "t", .wait = 2s }, script.store, script.hooks(), random);
+    follower.start();
+    script.answerNewest(newest_page { {}, true, 7 });
+    CHECK(script.confirmedAt == mono_time());
+    CHECK(script.lost == 1);
+    script.scheduledAction();
+    CHECK(script.reads.back() == "newest ");
+}
+
 TEST_CASE("the first read after a failure does not long-poll")
 {
     scripted_store script;
--- a/balsamspring/gateway/record_store.h
+++ b/balsamspring/gateway/record_store.h
@@ -31,6 +31,8 @@
     // Latest time at which the store is known to have had no newer records, relative to the time of the request. It may
     // be negative or positive if another VM relayed the records.
     duration provenAfterRequest {};
+    // End of the topic when the page was read. A page that ends before it proves nothing about the records after it.
+    std::uint64_t endOffset = 0;
 };
 
 // A page of the newest record of each key. Pages do not form a consistent snapshot: records may change between them.
--- a/balsamspring/gateway/topic_follower.cc
+++ b/balsamspring/gateway/topic_follower.cc
@@ -30,6 +30,7 @@
 {
     if (afterKey.empty()) {
         m_firstPage = true;
+        m_backlogEnd.reset();
         m_snapshotKeys.clear();
         m_snapshotRequestedAt = m_hooks.now();
     }
@@ -45,8 +46,10 @@
 {
     // Reading continues at the end offset of the first page, so that changes made between pages are read again in
     // order.
-    if (m_firstPage)
+    if (m_firstPage) {
         m_nextOffset = page.endOffset;
+        m_hooks.onSnapshot(m_nextOffset);
+    }
     m_firstPage = false;
     for (const store_record& record : page.records) {
         if (record.value)
@@ -54,8 +57,13 @@
         report(record);
     }
     const std::string lastKey = page.lastKey.empty() && !page.records.empty() ? page.records.back().key : page.lastKey;
-    if (page.hasMore && !lastKey.empty())
+    if (page.hasMore) {
+        if (lastKey.empty()) {
+            const error cause { error_code::Corrupt, "a page of the snapshot names no key to continue after" };
+            return handleFailure(cause, [this] { readSnapshot({}); });
+        }
         return readSnapshot(lastKey);
+    }
     std::vector<std::string> missing;
     for (const auto& [key, offset] : m_newestOffset) {
         if (!m_snapshotKeys.contains(key) && offset < m_nextOffset)
@@ -65,7 +73,6 @@
         m_newestOffset.erase(key);
         m_hooks.onMissing(key);
     }
-    m_hooks.onSnapshot(m_nextOffset);
     m_hooks.onCurrent(m_snapshotRequestedAt, m_nextOffset);
     readTail();
 }
@@ -77,6 +84,11 @@
     const duration wait = m_lost ? duration::zero() : m_options.wait;
     m_store.readFrom(m_options.topic, m_nextOffset, wait, [this, requestedAt](result<record_page> page) {
         if (page) {
+            // The same read would return the same page, at once.
+            if (page->nextOffset <= m_nextOffset && m_nextOffset < page->endOffset) {
+                const error cause { error_code::Corrupt, "a page without the records that the topic holds" };
+                return handleFailure(cause, [this] { readTail(); });
+            }
             handleSuccess();
             return handleTailPage(*page, requestedAt);
         }
@@ -93,8 +105,28 @@
     for (const store_record& record : page.records)
         report(record);
     m_nextOffset = std::max(m_nextOffset, page.nextOffset);
-    m_hooks.onCurrent(requestedAt + page.provenAfterRequest, m_nextOffset);
-    m_hooks.after(m_options.pause, [this] { readTail(); });
+    const bool reachesEnd = confirm(page, requestedAt);
+    m_hooks.after(reachesEnd ? m_options.pause : duration::zero(), [this] { readTail(); });
+}
+
+// The store limits the size of a page. Records after it may be older than the read, so that only reaching the end that
+// the topic had at some time proves that everything up to that time is known. A topic that grows as fast as it is read
+// is proven as of the time of an earlier page.
+bool topic_follower::confirm(const record_page& page, mono_time requestedAt)
+{
+    const mono_time provenAt = requestedAt + page.provenAfterRequest;
+    if (m_nextOffset >= page.endOffset) {
+        m_backlogEnd.reset();
+        m_hooks.onCurrent(provenAt, m_nextOffset);
+        return true;
+    }
+    if (m_backlogEnd && m_nextOffset >= m_backlogEnd->offset) {
+        m_hooks.onCurrent(m_backlogEnd->at, m_nextOffset);
+        m_backlogEnd.reset();
+    }
+    if (!m_backlogEnd)
+        m_backlogEnd = known_end { provenAt, page.endOffset };
+    return false;
 }
 
 void topic_follower::report(const store_record& record)
--- a/balsamspring/gateway/topic_follower.h
+++ b/balsamspring/gateway/topic_follower.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -30,7 +31,7 @@
     std::function<void(const std::string& key)> onMissing;
     // Called when all records that the topic held at `requestedAt` have been reported.
     std::function<void(mono_time requestedAt, std::uint64_t nextOffset)> onCurrent;
-    // Called when a snapshot has been read. Reading continues at `nextOffset`.
+    // Called before the records of a snapshot are reported. Reading continues at `nextOffset` after it.
     std::function<void(std::uint64_t nextOffset)> onSnapshot;
     // Called on the first failed call after a successful one.
     std::function<void(const error& cause)> onLost;
@@ -53,10 +54,18 @@
     bool lost() const { return m_lost; }
 
 private:
+    // The end that the topic had at some time.
+    struct known_end {
+        mono_time at {};
+        std::uint64_t offset = 0;
+    };
+
     void readSnapshot(const std::string& afterKey);
     void handleSnapshotPage(const newest_page& page);
     void readTail();
     void handleTailPage(const record_page& page, mono_time requestedAt);
+    // Reports what the page proves. Returns whether it reaches the end of the topic.
+    bool confirm(const record_page& page, mono_time requestedAt);
     void report(const store_record& record);
     void handleSuccess();
     void handleFailure(const error& cause, std::function<void()> retry);
@@ -68,6 +77,7 @@
     std::map<std::string, std::uint64_t> m_newestOffset; // Contains only the keys that have a value.
     std::set<std::string> m_snapshotKeys;
     std::uint64_t m_nextOffset = 0;
+    std::optional<known_end> m_backlogEnd; // while the pages read do not reach the end of the topic
     mono_time m_snapshotRequestedAt {};
     mono_time m_lastSuccessAt {};
     mono_time m_outageStart {};
--- a/balsamspring/gateway/topic_relay.cc
+++ b/balsamspring/gateway/topic_relay.cc
@@ -19,6 +19,8 @@
 
 void topic_relay::add(const store_record& record)
 {
+    if (record.offset < m_firstOffset)
+        return;
     const auto [knownOffset, added] = m_offsets.try_emplace(record.key, record.offset);
     if (!added) {
         m_records.erase(knownOffset->second);
@@ -42,7 +44,7 @@
     for (auto& [id, pending] : waiting) {
         if (pending.from < m_firstOffset)
             pending.answer(std::nullopt);
-        else if (hasRecordsFrom(pending.from) && isFresh(now))
+        else if (hasRecordsFrom(pending.from) && isFresh(now) && !isBehind())
             pending.answer(pageFrom(pending.from, pending.requestedAt));
         else
             m_pendingRequests.emplace(id, std::move(pending));
@@ -55,7 +57,7 @@
         answer(std::nullopt);
         return 0;
     }
-    if (hasRecordsFrom(from)) {
+    if (hasRecordsFrom(from) && !isBehind()) {
         answer(pageFrom(from, now));
         return 0;
     }
@@ -71,7 +73,7 @@
         return;
     const pending_request pending = std::move(found->second);
     m_pendingRequests.erase(found);
-    if (isFresh(now))
+    if (isFresh(now) && !isBehind())
         pending.answer(pageFrom(pending.from, pending.requestedAt));
     else
         pending.answer(std::nullopt);
--- a/balsamspring/gateway/topic_relay.h
+++ b/balsamspring/gateway/topic_relay.h
@@ -31,11 +31,13 @@
 
     explicit topic_relay(relay_options options);
 
-    // Discards all records. Those before `next` are part of the snapshot that was just read and not known individually.
+    // Discards all records. Those before `next` belong to the snapshot that is being read and are not relayed.
     void reset(std::uint64_t next);
-    // Adds a record whose offset is greater than that of the last one.
+    // Adds a record. Until advance() covers it, the relay is behind and answers with no page: an older record of the
+    // same key, which the proof covers, is lost.
     void add(const store_record& record);
-    // The store had no records from `next` on at `provenAt`. Answers the pending requests that this completes.
+    // All records before `next` have been added, and the store had no others at `provenAt`. Answers the pending
+    // requests that this completes.
     void advance(std::uint64_t next, mono_time provenAt, mono_time now);
 
     // Answers immediately and returns 0 if there are records from `from` on, or if only the store can answer: the data
@@ -56,7 +58,9 @@
     };
 
     bool hasRecordsFrom(std::uint64_t from) const;
+    // Whether the records that are known may be relayed.
     bool isFresh(mono_time now) const;
+    bool isBehind() const { return !m_records.empty() && m_records.rbegin()->first >= m_nextOffset; }
     record_page pageFrom(std::uint64_t from, mono_time requestedAt) const;
 
     relay_options m_options;
--- a/balsamspring/gateway/topic_relay_test.cc
+++ b/balsamspring/gateway/topic_relay_test.cc
@@ -85,6 +85,46 @@
     CHECK_FALSE(afterReset.page);
 }
 
+TEST_CASE("relay: records that no proof covers yet are not relayed, nor is the proof before them")
+{
+    // A newer record replaces the one that the proof covers: its reader would trust a key that the older one revoked.
+    topic_relay relay({});
+    relay.reset(10);
+    relay.add({ "config", "1", 10 });
+    relay.advance(11, start, start);
+    relay.add({ "config", "2", 11 });
+    page_receiver expired;
+    const auto id = relay.requestPage(10, start + 100ms, expired.reply());
+    REQUIRE(id != 0);
+    relay.expire(id, start + 200ms);
+    CHECK(expired.answers == 1);
+    CHECK_FALSE(expired.page);
+    page_receiver waiting;
+    REQUIRE(relay.requestPage(10, start + 200ms, waiting.reply()) != 0);
+    CHECK(waiting.answers == 0);
+    relay.advance(12, start + 300ms, start + 300ms);
+    REQUIRE(waiting.page);
+    CHECK(waiting.page->records.size() == 1);
+    CHECK(waiting.page->nextOffset == 12);
+}
+
+TEST_CASE("relay: a record that changes while a snapshot is read is relayed")
+{
+    // The record was reported with the snapshot and discarded at its end. Its second report changed nothing.
+    topic_relay relay({});
+    relay.reset(10);
+    relay.add({ "s1", "entry of the snapshot", 5 });
+    relay.add({ "s2", "changed after the first page", 12 });
+    relay.advance(10, start, start);
+    page_receiver receiver;
+    REQUIRE(relay.requestPage(10, start, receiver.reply()) != 0);
+    CHECK(receiver.answers == 0);
+    relay.advance(13, start + 10ms, start + 10ms);
+    REQUIRE(receiver.page);
+    REQUIRE(receiver.page->records.size() == 1);
+    CHECK(receiver.page->records[0].key == "s2");
+}
+
 TEST_CASE("relay: a cancelled request gets no answer")
 {
     topic_relay relay({});
