Answer each request before a stopping process ends

It can happen here: new requests are refused 2.8 s after SIGTERM, but those that ran were cut at the end of the process.

Cause: a stop limited when requests are accepted, not when they end. With a time to stop below 3.5 s, requests were accepted until the end.

Change: the deadline of each request is at most 0.2 s before the end of the process, so that it ends with 504, or with an aborted stream. Requests are accepted in at most half of the time.

Conclusion: nothing that was passed on ends without an answer in a planned stop.

--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -395,6 +395,8 @@
         auto session = std::make_shared<request_session>(context, options.sessions, std::move(request),
             std::move(writer), [this](request_session& done) { sessionDone(done); });
         sessions.insert(session);
+        if (lastResponseAt)
+            session->endBy(*lastResponseAt);
         if (refusing)
             return session->rejectIfWaiting("stopping");
         session->begin();
@@ -440,14 +442,20 @@
         callers->startGracefulClose();
         if (ownership)
             ownership->leave();
-        loop.after(options.acceptWhileStopping, [this] {
+        // The rest of the time is for sending the last responses.
+        const duration end = settings.stopLimit - options.stopMargin;
+        lastResponseAt = bootNow() + end - options.flushDelay;
+        for (const auto& session : sessions)
+            session->endBy(*lastResponseAt);
+        // A process that is given little time answers before its end all the same.
+        loop.after(std::min(options.acceptWhileStopping, (end - options.flushDelay) / 2), [this] {
             refusing = true;
             const auto waiting = sessions;
             for (const auto& session : waiting)
                 session->rejectIfWaiting("stopping");
             stopIfIdle();
         });
-        loop.after(settings.stopLimit - options.stopMargin, [this] { finish(); });
+        loop.after(end, [this] { finish(); });
     }
 
     void stopIfIdle()
@@ -455,9 +463,7 @@
         if (!sessions.empty() || finished)
             return;
         callers->closeIdleConnections();
-        // Allows time for sending the last responses and closing the connections.
-        constexpr duration flushDelay = std::chrono::milliseconds(200);
-        loop.after(flushDelay, [this] {
+        loop.after(options.flushDelay, [this] {
             if (sessions.empty())
                 finish();
         });
@@ -509,6 +515,7 @@
     std::set<pool_id> ownedPools;
     std::function<void()> onStopped;
     bool configUnreadable = false;
+    std::optional<mono_time> lastResponseAt; // while stopping
     bool stopping = false; // The gateway is no longer ready.
     bool refusing = false; // New requests are refused.
     bool finished = false;
--- a/balsamspring/gateway/gateway.h
+++ b/balsamspring/gateway/gateway.h
@@ -81,6 +81,8 @@
     duration acceptWhileStopping = std::chrono::milliseconds(2800);
     // Time between the end of the process and the time at which it would be killed.
     duration stopMargin = std::chrono::milliseconds(500);
+    // Time for sending the last responses and closing the connections before the process ends.
+    duration flushDelay = std::chrono::milliseconds(200);
     duration expiryInterval = std::chrono::milliseconds(250);
     session_options sessions;
 };
--- a/balsamspring/gateway/request_session.cc
+++ b/balsamspring/gateway/request_session.cc
@@ -406,10 +406,11 @@
     m_deadlineTimer = 0;
     if (m_done)
         return;
+    const std::string_view reason = m_endBy && m_deadline == *m_endBy ? "stopping" : "deadline";
     if (m_responseStarted)
-        return abortResponse("deadline");
+        return abortResponse(reason);
     if (m_exchange || m_mayHaveRun)
-        return refuse(statusGatewayTimeout, "deadline");
+        return refuse(statusGatewayTimeout, reason);
     giveUp("deadline_in_queue");
 }
 
--- a/balsamspring/gateway/request_session.h
+++ b/balsamspring/gateway/request_session.h
@@ -66,6 +66,8 @@
     void begin();
     // Refuses the request if no part of it has been sent to a server yet.
     void rejectIfWaiting(std::string_view reason);
+    // Ends the request at `limit` at the latest, with a response. To be called before begin(), or later.
+    void endBy(mono_time limit);
     // Ends the call to a server without an answer to the caller, at the end of the gateway.
     void abandon();
 
@@ -93,6 +95,7 @@
     bool authenticate();
     bool keyStillValid();
     void startTimers();
+    void armDeadline();
 
     // Stages.
     void prepareStages();
@@ -196,6 +199,7 @@
     // Time at which the route's latency target is reached.
     mono_time m_targetTime {};
     mono_time m_deadline {};
+    std::optional<mono_time> m_endBy; // the gateway ends soon after
     std::vector<stage_progress> m_stages;
 
     std::shared_ptr<client_exchange> m_exchange;
--- a/balsamspring/gateway/request_session_admission.cc
+++ b/balsamspring/gateway/request_session_admission.cc
@@ -136,6 +136,22 @@
     const duration timeout = std::min(m_request.callerTimeout.value_or(m_route->timeout), m_route->timeout);
     m_deadline = start + timeout;
     m_targetTime = start + m_route->latencyTarget;
+    armDeadline();
+}
+
+void request_session::endBy(mono_time limit)
+{
+    m_endBy = limit;
+    if (!m_deadlineTimer)
+        return;
+    m_context.loop.cancel(m_deadlineTimer);
+    armDeadline();
+}
+
+void request_session::armDeadline()
+{
+    if (m_endBy)
+        m_deadline = std::min(m_deadline, *m_endBy);
     const duration timeToDeadline = m_deadline - m_options.deadlineMargin - bootNow();
     m_deadlineTimer = m_context.loop.after(
         std::max(timeToDeadline, duration::zero()), [self = shared_from_this()] { self->deadlinePassed(); });
