Bound what calls to servers of stages keep, and for how long

Heads and bodies are limited here in every call. Two limits were too wide: each stage call could keep 1 MB, so that the calls of a VM together exceeded its memory, and a call that frees results had no time limit, so that a server that answers one byte a second kept the connection for good.

Change: the response to a stage call is limited by its pieces (4 KB and 1 KB a piece). Exchanges have a time limit, which calls that free results use, also those to other VMs.

--- a/balsamspring/gateway/piece_router.cc
+++ b/balsamspring/gateway/piece_router.cc
@@ -239,6 +239,7 @@
             exchange_request request;
             request.bytes = peerRequest(*owner, releasePath, encodeRelease(pool, results));
             request.maxIdle = options.idleReuse;
+            request.timeLimit = options.releaseTimeout;
             peers.start(*owner, std::move(request),
                 { .onHead = nullptr,
                     .onBody = nullptr,
--- a/balsamspring/gateway/piece_router.h
+++ b/balsamspring/gateway/piece_router.h
@@ -15,6 +15,7 @@
     duration connectTimeout = std::chrono::milliseconds(250);
     duration silenceLimit = std::chrono::milliseconds(700); // the gathering VM sends keep-alive bytes more often
     duration releaseDelay = std::chrono::milliseconds(40); // batches the releases of results
+    duration releaseTimeout = std::chrono::seconds(1);
     duration idleReuse = std::chrono::seconds(10);
     // Concurrent calls to a pool that another VM gathers for. Low, because all VMs may fall back at the same time.
     unsigned fallbackCalls = 1;
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -243,7 +243,7 @@
                 .onBody =
                     [this, call](std::string_view bytes) {
                         call->body += bytes;
-                        if (call->body.size() > options.maxResponseBytes)
+                        if (call->body.size() > maxResponseBytes(*call))
                             finish(*call, exchange_outcome::Malformed, "endless_answer");
                     },
                 .onEnd =
@@ -252,6 +252,11 @@
                     } });
     }
 
+    std::size_t maxResponseBytes(const piece_call& call) const
+    {
+        return options.maxResponseBytes + call.pieces.size() * options.maxResponseBytesPerPiece;
+    }
+
     std::uint64_t expectedResultBytes(const piece_call& call) const
     {
         std::uint64_t bytes = 0;
@@ -510,6 +515,7 @@
                 handles.push_back(item.handle);
             request.bytes = parts.adapter.encodeRelease(serverAddress, handles);
             request.maxIdle = options.idleReuse;
+            request.timeLimit = options.releaseTimeout;
             parts.backends.start(serverAddress, std::move(request),
                 { .onHead =
                         [this, entry = *server](const http_head& head) {
--- a/balsamspring/gateway/piece_service.h
+++ b/balsamspring/gateway/piece_service.h
@@ -55,8 +55,11 @@
     // How often the end of a server's pause is looked for, to release its results.
     duration pausedReleaseDelay = std::chrono::milliseconds(250);
     duration idleReuse = std::chrono::seconds(3);
-    // The response to the largest call is much shorter.
-    std::size_t maxResponseBytes = 1024 * 1024;
+    // Longest valid response to a call: for the call, and for each of its pieces. Bounds the memory that all calls in
+    // progress take if every server sends bytes without end.
+    std::size_t maxResponseBytes = 4 * 1024;
+    std::size_t maxResponseBytesPerPiece = 1024;
+    duration releaseTimeout = std::chrono::seconds(1);
     // How long calls wait for the servers' answers about their free result storage.
     duration storageWait = std::chrono::milliseconds(80);
     piece_queue_options queue;
--- a/balsamspring/net/http_exchange.cc
+++ b/balsamspring/net/http_exchange.cc
@@ -177,6 +177,9 @@
             .onData = [self = shared_from_this()](std::string_view bytes) { self->received(bytes); },
             .onEnd = [self = shared_from_this()](connection_end outcome) { self->connectionEnded(outcome); },
             .onWritten = nullptr });
+        if (m_request.timeLimit.count() > 0)
+            m_limitTimer = m_client->loop.after(
+                m_request.timeLimit, [self = shared_from_this()] { self->end(exchange_outcome::Lost); });
         if (m_reused)
             connected();
     }
@@ -292,6 +295,8 @@
 
     void release(bool reusable)
     {
+        m_client->loop.cancel(m_limitTimer);
+        m_limitTimer = 0;
         m_client->loop.cancel(m_connectTimer);
         m_connectTimer = 0;
         if (reusable) {
@@ -309,6 +314,7 @@
     http_parser m_parser;
     std::shared_ptr<connection> m_connection;
     event_loop::timer_id m_connectTimer = 0;
+    event_loop::timer_id m_limitTimer = 0;
     duration m_idleLimit {};
     bool m_reused = false;
     bool m_refused = false;
--- a/balsamspring/net/http_exchange.h
+++ b/balsamspring/net/http_exchange.h
@@ -37,6 +37,8 @@
     std::string echoField;
     std::string echoValue;
     bool expectNoBody = false; // for HEAD requests
+    // Time after which an exchange that has not ended is given up as Lost; 0: none.
+    duration timeLimit {};
 };
 
 // A request in progress.
--- a/balsamspring/net/net_test.cc
+++ b/balsamspring/net/net_test.cc
@@ -174,6 +174,30 @@
     CHECK(record.end == exchange_outcome::Malformed);
 }
 
+TEST_CASE("an exchange with a time limit ends at it, however slowly its response goes on")
+{
+    // A server that answered with one byte a second, without end, kept the connection for good.
+    event_loop loop;
+    std::vector<std::shared_ptr<connection>> connections;
+    std::function<void()> trickle = [&] {
+        for (const auto& conn : connections)
+            conn->write("x");
+        loop.after(10ms, trickle);
+    };
+    raw_server server(loop, [&](const auto& conn, std::string_view) {
+        conn->write("HTTP/1.1 200 OK\r\n\r\n");
+        connections.push_back(conn);
+    });
+    trickle();
+    exchange_client client(loop, {});
+    exchange_record record;
+    exchange_request request;
+    request.timeLimit = 100ms;
+    startExchange(client, server.address(), record, loop, request);
+    runFor(loop, 1s);
+    CHECK(record.end == exchange_outcome::Lost);
+}
+
 TEST_CASE("the end of the connection completes a response without a length and truncates one with a length")
 {
     parsed_messages unframed(http_role::Response);
