Go on following topics and calling servers whatever one message does

Cause: encoding the call of a stage as JSON threw after the queue had counted the call, whose slot stayed taken, and the exception passed through the follower of the entries before it had scheduled its next read.

Encoding returns an error. The follower reads on whatever its hooks do, and handles the other records of a page. Changes of servers start calls in a turn of their own. Periodic steps arm the next one first.

--- a/balsamspring/ctl/log_story.cc
+++ b/balsamspring/ctl/log_story.cc
@@ -41,6 +41,7 @@
     { "no_server", "no server of the pool could take the request" },
     { "not_begun", "the request waited too long at a server that had not begun it" },
     { "not_reached", "no connection to the server could be opened" },
+    { "piece_key_unreadable", "the key of the pieces, or the id, is no UTF-8" },
     { "piece_count_unreadable", "the number of pieces of a stage could not be read" },
     { "prompt_prefix_unreadable", "the parts of the prompt could not be read" },
     { "run_lost", "the server no longer held the run, and the stream could not go on elsewhere" },
--- a/balsamspring/gateway/gateway.cc
+++ b/balsamspring/gateway/gateway.cc
@@ -119,6 +119,12 @@
                     updatePolling();
                 },
             .onSnapshot = [this, topic](std::uint64_t next) { relayed.relay(topic).reset(next); },
+            .onRecordFailure =
+                [this, name](const std::string& key, std::string_view why) {
+                    metrics.count("failed_records", name);
+                    logLine(log_level::Error, "record_failed",
+                        { { "topic", name }, { "key", key }, { "why", std::string(why) } });
+                },
             .onLost =
                 [this, name, followsServers](const error& cause) {
                     metrics.count("store_losses", name);
@@ -140,8 +146,9 @@
         relayed.relay(decoders.configTopic).add(record);
         if (record.key != decoders.configKey || !record.value)
             return;
+        // Until it is known to be in force, no proof counts for the version before it.
+        configUnreadable = true;
         auto decoded = decoders.config(*record.value);
-        configUnreadable = !decoded;
         if (!decoded) {
             metrics.count("unreadable_records", "config");
             logLine(log_level::Error, "config_unreadable",
@@ -150,6 +157,7 @@
         }
         auto snapshot = std::make_shared<const serving_config>(std::move(*decoded));
         const bool applied = config.offer(snapshot);
+        configUnreadable = false;
         logLine(log_level::Info, applied ? "config_applied" : "config_ignored",
             { { "version", std::to_string(snapshot->version().value()) },
                 { "routes", std::to_string(snapshot->data().routes.size()) },
@@ -413,6 +421,7 @@
     void expireRegularly()
     {
         loop.after(options.expiryInterval, [this] {
+            expireRegularly();
             servers.expire(bootNow());
             parts.tick(bootNow());
             suspects.removeExpired(relayed.relays(decoders.suspectTopic));
@@ -426,7 +435,6 @@
                                 ? fmt::format("{:.0f}", toSeconds(*config.proofAge(bootNow())) * 1000)
                                 : "-" } });
             wasReady = nowReady;
-            expireRegularly();
         });
     }
 
--- a/balsamspring/gateway/gateway_test.cc
+++ b/balsamspring/gateway/gateway_test.cc
@@ -352,11 +352,21 @@
                     scheduledDelay = delay;
                     scheduledAction = std::move(action);
                 },
-            .onRecord
-            = [this](const store_record& record) { reported.push_back(record.key + (record.value ? "+" : "-")); },
+            .onRecord =
+                [this](const store_record& record) {
+                    if (record.key == poison)
+                        throw std::runtime_error("cannot be handled");
+                    reported.push_back(record.key + (record.value ? "+" : "-"));
+                },
             .onMissing = [this](const std::string& key) { reported.push_back(key + "?"); },
-            .onCurrent = [this](mono_time askedAt, std::uint64_t) { confirmedAt = askedAt; },
+            .onCurrent =
+                [this](mono_time askedAt, std::uint64_t) {
+                    if (std::exchange(currentFails, false))
+                        throw std::runtime_error("cannot be confirmed");
+                    confirmedAt = askedAt;
+                },
             .onSnapshot = [](std::uint64_t) {},
+            .onRecordFailure = [this](const std::string& key, std::string_view) { failed.push_back(key); },
             .onLost = [this](const error&) { lost += 1; },
             .onRecovered =
                 [this](duration) {
@@ -383,6 +393,9 @@
     duration scheduledDelay {};
     std::vector<std::string> reads;
     std::vector<std::string> reported;
+    std::vector<std::string> failed;
+    std::string poison; // key of the record whose hook throws
+    bool currentFails = false; // the next confirmation throws
     mono_time now = start;
     mono_time confirmedAt {};
     int lost = 0;
@@ -473,6 +486,41 @@
     }
 }
 
+TEST_CASE("a record that cannot be handled does not end the following of its topic")
+{
+    // An exception while one entry was handled ended the reads for good: servers that left went on to get requests.
+    scripted_store script;
+    random_engine random(1);
+    topic_follower follower({ .topic = "t", .wait = 2s, .pause = 1s }, script.store, script.hooks(), random);
+    script.poison = "b";
+    follower.start();
+    SECTION("a record of the snapshot, and one after it")
+    {
+        script.answerNewest(newest_page { { { "a", "1", 3 }, { "b", "1", 4 }, { "c", "1", 5 } }, false, 7 });
+        CHECK(script.reads.back() == "read 7 wait");
+        script.answerTail(record_page { { { "b", "2", 7 }, { "d", "1", 8 } }, 9, {}, 9 });
+        CHECK(script.reported == std::vector<std::string> { "a+", "c+", "d+" });
+        CHECK(script.failed == std::vector<std::string> { "b", "b" });
+        script.scheduledAction();
+        CHECK(script.reads.back() == "read 9 wait");
+    }
+    SECTION("what follows the snapshot")
+    {
+        script.currentFails = true;
+        CHECK_THROWS(script.answerNewest(newest_page { { { "a", "1", 3 } }, false, 7 }));
+        script.scheduledAction();
+        CHECK(script.reads.back() == "newest ");
+    }
+    SECTION("what follows a page")
+    {
+        script.answerNewest(newest_page { { { "a", "1", 3 } }, false, 7 });
+        script.currentFails = true;
+        CHECK_THROWS(script.answerTail(record_page { { { "d", "1", 7 } }, 8, {}, 8 }));
+        script.scheduledAction();
+        CHECK(script.reads.back() == "read 8 wait");
+    }
+}
+
 TEST_CASE("a snapshot whose page names no key to continue after is read again")
 {
     scripted_store script;
--- a/balsamspring/gateway/piece_service.cc
+++ b/balsamspring/gateway/piece_service.cc
@@ -227,8 +227,15 @@
         }
         call->reserved = expectedResultBytes(*call);
         target.queue.reserveResultBytes(planned.server, call->reserved);
+        auto message = parts.adapter.encodePieceCall(server->address, server->id, items);
+        if (!message) {
+            logLine(log_level::Error, "stage_call_unencodable",
+                { { "pool", id.value() }, { "why", message.error().message } });
+            parts.loop.post([this, call] { finish(*call, exchange_outcome::NotSent, "unencodable"); });
+            return;
+        }
         exchange_request request;
-        request.bytes = parts.adapter.encodePieceCall(server->address, server->id, items);
+        request.bytes = std::move(*message);
         request.maxIdle = options.idleReuse;
         const duration limit = target.queue.callTimeout(server->id, planned.pieces, now);
         call->timer = parts.loop.after(limit, [this, call] { finish(*call, exchange_outcome::Lost, "silent"); });
@@ -633,7 +640,8 @@
         return;
     if (change == server_change::Removed || change == server_change::Restarted)
         found->second.queue.resetServer(server.id);
-    m_state->dispatch(server.pool);
+    // Deferred, so that the change is known everywhere before calls are sent, whatever becomes of them.
+    m_state->parts.loop.post([state = m_state.get(), pool = server.pool] { state->dispatch(pool); });
 }
 
 void piece_service::beginGathering(const pool_id& pool)
--- a/balsamspring/gateway/pool_ownership.cc
+++ b/balsamspring/gateway/pool_ownership.cc
@@ -43,14 +43,15 @@
         return;
     m_store.joinGroup(m_options.group, toString(m_self), m_options.topic, m_options.lifetime, m_generation,
         [this](const result<std::uint64_t>& generation) {
+            m_hooks.after(m_options.joinInterval, [this] { join(); });
             if (generation)
                 joined(*generation);
-            m_hooks.after(m_options.joinInterval, [this] { join(); });
         });
 }
 
 void pool_ownership::refreshPeriodically()
 {
+    m_hooks.after(m_options.minRefreshInterval, [this] { refreshPeriodically(); });
     const mono_time now = m_hooks.now();
     const duration interval = m_owners.empty() ? m_options.minRefreshInterval
         : m_refreshSoon                        ? m_options.failureRefreshInterval
@@ -60,7 +61,6 @@
         m_refreshSoon = false;
         readOwners(m_generation);
     }
-    m_hooks.after(m_options.minRefreshInterval, [this] { refreshPeriodically(); });
 }
 
 void pool_ownership::joined(std::uint64_t generation)
--- a/balsamspring/gateway/topic_follower.cc
+++ b/balsamspring/gateway/topic_follower.cc
@@ -1,6 +1,9 @@
 #include "balsamspring/gateway/topic_follower.h"
 
+#include "balsamspring/base/scope_exit.h"
+
 #include <algorithm>
+#include <exception>
 
 namespace balsamspring {
 
@@ -44,6 +47,11 @@
 
 void topic_follower::handleSnapshotPage(const newest_page& page)
 {
+    bool goesOn = false;
+    const scope_exit startAgain([&] {
+        if (!goesOn)
+            m_hooks.after(m_retryDelay, [this] { readSnapshot({}); });
+    });
     // Reading continues at the end offset of the first page, so that changes made between pages are read again in
     // order.
     if (m_firstPage) {
@@ -60,8 +68,10 @@
     if (page.hasMore) {
         if (lastKey.empty()) {
             const error cause { error_code::Corrupt, "a page of the snapshot names no key to continue after" };
+            goesOn = true;
             return handleFailure(cause, [this] { readSnapshot({}); });
         }
+        goesOn = true;
         return readSnapshot(lastKey);
     }
     std::vector<std::string> missing;
@@ -71,9 +81,10 @@
     }
     for (const std::string& key : missing) {
         m_newestOffset.erase(key);
-        m_hooks.onMissing(key);
+        guarded(key, [&] { m_hooks.onMissing(key); });
     }
     m_hooks.onCurrent(m_snapshotRequestedAt, m_nextOffset);
+    goesOn = true;
     readTail();
 }
 
@@ -102,11 +113,13 @@
 
 void topic_follower::handleTailPage(const record_page& page, mono_time requestedAt)
 {
+    duration pause = m_retryDelay; // if a hook throws
+    const scope_exit readOn([&] { m_hooks.after(pause, [this] { readTail(); }); });
     for (const store_record& record : page.records)
         report(record);
     m_nextOffset = std::max(m_nextOffset, page.nextOffset);
     const bool reachesEnd = confirm(page, requestedAt);
-    m_hooks.after(reachesEnd ? m_options.pause : duration::zero(), [this] { readTail(); });
+    pause = reachesEnd ? m_options.pause : duration::zero();
 }
 
 // The store limits the size of a page. Records after it may be older than the read, so that only reaching the end that
@@ -138,7 +151,16 @@
         m_newestOffset[record.key] = record.offset;
     else
         m_newestOffset.erase(record.key);
-    m_hooks.onRecord(record);
+    guarded(record.key, [&] { m_hooks.onRecord(record); });
+}
+
+void topic_follower::guarded(const std::string& key, const std::function<void()>& hook)
+{
+    try {
+        hook();
+    } catch (const std::exception& failure) {
+        m_hooks.onRecordFailure(key, failure.what());
+    }
 }
 
 void topic_follower::handleSuccess()
--- a/balsamspring/gateway/topic_follower.h
+++ b/balsamspring/gateway/topic_follower.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace balsamspring {
 
@@ -33,6 +34,8 @@
     std::function<void(mono_time requestedAt, std::uint64_t nextOffset)> onCurrent;
     // Called before the records of a snapshot are reported. Reading continues at `nextOffset` after it.
     std::function<void(std::uint64_t nextOffset)> onSnapshot;
+    // Called when onRecord or onMissing has thrown for a record. The others are reported all the same.
+    std::function<void(const std::string& key, std::string_view why)> onRecordFailure;
     // Called on the first failed call after a successful one.
     std::function<void(const error& cause)> onLost;
     // Called on the first successful call after a failed one, with the time since the previous success.
@@ -67,6 +70,8 @@
     // Reports what the page proves. Returns whether it reaches the end of the topic.
     bool confirm(const record_page& page, mono_time requestedAt);
     void report(const store_record& record);
+    // Runs a hook for a record, so that one record that cannot be handled does not end the following of all.
+    void guarded(const std::string& key, const std::function<void()>& hook);
     void handleSuccess();
     void handleFailure(const error& cause, std::function<void()> retry);
 
--- a/balsamspring/gateway/wire_adapter.h
+++ b/balsamspring/gateway/wire_adapter.h
@@ -120,7 +120,9 @@
     std::function<http_head(unsigned status, const std::optional<request_id>&, std::optional<duration> retryAfter)>
         refusal;
     // Requests are encoded completely, with head and body.
-    std::function<std::string(const endpoint&, const backend_id&, const std::vector<piece_item>&)> encodePieceCall;
+    // Error `Corrupt` if an item holds text that the message cannot carry.
+    std::function<result<std::string>(const endpoint&, const backend_id&, const std::vector<piece_item>&)>
+        encodePieceCall;
     std::function<result<std::vector<piece_outcome>>(const std::string& body)> decodePieceResponse;
     std::function<std::string(const endpoint&, const std::vector<std::string>& handles)> encodeRelease;
     std::function<std::string(const endpoint&)> encodeReportRequest;
