--- a/review/stand_ins_2/pipelined_lookups.cc
+++ b/review/stand_ins_2/pipelined_lookups.cc
@@ -42,8 +42,8 @@
             std::this_thread::sleep_for(milliseconds(300));
         const std::string body = "answer to " + name + "\n";
         record.add("server answers " + name);
-        if (!stream.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + name + "\r\nResponse-Signature: 3e1b." + name
-                + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body))
+        if (!stream.send(concat({ "HTTP/1.1 200 OK\r\nAttempt-Id: ", name, "\r\nResponse-Signature: 3e1b.", name,
+                "\r\nContent-Length: ", std::to_string(body.size()), "\r\n\r\n", body })))
             return;
     }
 }
@@ -80,8 +80,8 @@
             break;
         }
         const std::string got = answer->field("Attempt-Id");
-        record.add("client got " + std::to_string(answer->status()) + " for " + got + " where the answer to " + name
-            + " is due: " + answer->body.substr(0, answer->body.find('\n')));
+        record.add(concat({ "client got ", std::to_string(answer->status()), " for ", got, " where the answer to ",
+            name, " is due: ", answer->body.substr(0, answer->body.find('\n')) }));
         if (answer->status() == 200 && got != name)
             outcome = ruleBroken;
     }
--- a/review/stand_ins_2/support.cc
+++ b/review/stand_ins_2/support.cc
@@ -9,7 +9,6 @@
 #include <cstring>
 #include <fstream>
 #include <iostream>
-#include <sstream>
 #include <stdexcept>
 
 #include <arpa/inet.h>
@@ -117,6 +116,14 @@
     return !value || std::string_view(value) != "0";
 }
 
+std::string concat(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts)
+        text += part;
+    return text;
+}
+
 double elapsedMs() { return std::chrono::duration<double, std::milli>(steady::now() - caseStart).count(); }
 
 event_record::event_record(const std::string& path)
@@ -476,6 +483,7 @@
     settings.close();
     std::vector<std::string> words { "target/apps/balsamspring-gateway", "--metrics-port", std::to_string(freePort()) };
     std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
     for (std::string& word : words)
         arguments.push_back(word.data());
     arguments.push_back(nullptr);
--- a/review/stand_ins_2/support.h
+++ b/review/stand_ins_2/support.h
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -31,6 +32,8 @@
 // False for the run without the disruption (TROUBLE=0).
 bool withTrouble();
 
+std::string concat(std::initializer_list<std::string_view> parts);
+
 // Milliseconds since the start of the case.
 double elapsedMs();
 
