--- a/review/stand_ins_2/support.cc
+++ b/review/stand_ins_2/support.cc
@@ -323,6 +323,24 @@
     }
 }
 
+slow_server::slow_server()
+    : m_listener(openListener(m_port))
+    , m_acceptor([this] {
+        for (int accepted = 0; (accepted = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;)
+            m_connections.push_back(accepted);
+    })
+{
+}
+
+slow_server::~slow_server()
+{
+    shutdown(m_listener, SHUT_RDWR);
+    m_acceptor.join();
+    ::close(m_listener);
+    for (const int connection : m_connections)
+        ::close(connection);
+}
+
 store_stand_in::store_stand_in()
     : m_service(std::make_unique<tcp_service>([this](tcp_stream& stream) { serve(stream); }))
 {
--- a/review/stand_ins_2/support.h
+++ b/review/stand_ins_2/support.h
@@ -120,6 +120,23 @@
     std::thread m_acceptor;
 };
 
+// A server that accepts connections and does not answer in the time of a case. Needs no threads for them.
+class slow_server {
+public:
+    slow_server();
+    ~slow_server();
+    slow_server(const slow_server&) = delete;
+    slow_server& operator=(const slow_server&) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+private:
+    std::uint16_t m_port = 0;
+    int m_listener;
+    std::vector<int> m_connections;
+    std::thread m_acceptor;
+};
+
 // The platform's store: keyed topics of one partition, and one group.
 class store_stand_in {
 public:
