--- a/review/stand_ins_2/support.cc
+++ b/review/stand_ins_2/support.cc
@@ -533,16 +533,21 @@
     const auto limit = steady::now() + std::chrono::seconds(10);
     while (steady::now() < limit) {
         std::this_thread::sleep_for(milliseconds(50));
-        const auto probe = tcp_stream::connect(m_readiness);
-        if (!probe || !probe->send("GET /readyz HTTP/1.1\r\nHost: readiness\r\n\r\n"))
-            continue;
-        const auto response = probe->receive(std::chrono::seconds(1));
-        if (response && response->status() == 200)
+        if (isReady(std::chrono::seconds(1)))
             return true;
     }
     return false;
 }
 
+bool gateway_process::isReady(milliseconds limit) const
+{
+    const auto probe = tcp_stream::connect(m_readiness);
+    if (!probe || !probe->send("GET /readyz HTTP/1.1\r\nHost: readiness\r\n\r\n"))
+        return false;
+    const auto response = probe->receive(limit);
+    return response && response->status() == 200;
+}
+
 void gateway_process::end()
 {
     if (runs()) {
--- a/review/stand_ins_2/support.h
+++ b/review/stand_ins_2/support.h
@@ -188,6 +188,8 @@
     gateway_process& operator=(const gateway_process&) = delete;
 
     std::uint16_t port() const { return m_port; }
+    // Whether it answers within the limit that it is ready, on a new connection.
+    bool isReady(milliseconds limit) const;
     void signal(int number) const;
     // Whether it has not ended.
     bool runs();
