--- a/review/stand_ins_2/support.cc
+++ b/review/stand_ins_2/support.cc
@@ -31,6 +31,16 @@
 
 const steady::time_point caseStart = steady::now();
 
+// The gateway that runs, for the end of a case by a signal.
+std::atomic<pid_t> runningGateway = 0;
+
+void endBySignal(int)
+{
+    if (const pid_t process = runningGateway)
+        kill(process, SIGKILL);
+    _exit(notRun);
+}
+
 sockaddr_in loopback(std::uint16_t port)
 {
     sockaddr_in address {};
@@ -512,14 +522,14 @@
     environment.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(
-        &actions, 1, (m_directory + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    posix_spawn_file_actions_addopen(&actions, 1, (m_directory + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
     const int failure
         = posix_spawn(&m_process, words.front().c_str(), &actions, nullptr, arguments.data(), environment.data());
     posix_spawn_file_actions_destroy(&actions);
     if (failure != 0)
         throw std::runtime_error("cannot start " + words.front());
+    runningGateway = m_process;
     if (becomesReady())
         return;
     end();
@@ -555,6 +565,7 @@
         signal(SIGCONT);
         waitpid(m_process, nullptr, 0);
     }
+    runningGateway = 0;
     if (const char* kept = std::getenv("KEEP_LOG"))
         std::rename((m_directory + "/log").c_str(), kept);
     unlink((m_directory + "/log").c_str());
@@ -589,6 +600,9 @@
 int runCase(const std::function<int(event_record&)>& body, int argumentCount, char** arguments)
 {
     signal(SIGPIPE, SIG_IGN);
+    // The limit of the script, and a user who stops it.
+    signal(SIGTERM, endBySignal);
+    signal(SIGINT, endBySignal);
     if (argumentCount != 2) {
         std::cerr << "usage: " << arguments[0] << " RECORD\n";
         return notRun;
