--- a/review/stand_ins_2/crowd_memory.cc
+++ b/review/stand_ins_2/crowd_memory.cc
@@ -84,6 +84,17 @@
     return true;
 }
 
+void recordUnanswered(const std::vector<std::unique_ptr<tcp_stream>>& crowd, event_record& record)
+{
+    std::this_thread::sleep_for(milliseconds(200));
+    std::size_t unanswered = 0;
+    for (const auto& client : crowd) {
+        char byte = 0;
+        unanswered += client->read(&byte, 1, milliseconds(0)) <= 0 ? 1 : 0;
+    }
+    record.add(std::to_string(unanswered) + " clients have got no answer");
+}
+
 // Returns whether the process ended.
 bool runCrowd(gateway_process& gateway, event_record& record)
 {
@@ -108,8 +119,11 @@
     record.add(concat({ std::to_string(crowd.size()), " requests sent, with heads of ",
         std::to_string(requestHead("a1", prefix, 8).size()), " bytes; peak of the process ",
         std::to_string(gateway.peakMb()), " MB" }));
-    if (!withTrouble() || kind == crowd_kind::Heads)
+    if (!withTrouble() || kind == crowd_kind::Heads) {
+        if (ended)
+            recordUnanswered(crowd, record);
         return ended;
+    }
     std::size_t senders = 0;
     while (senders < clients && !ended) {
         // The gateway stops reading at its own limit, so the rest of the part stays in the kernel.
--- a/review/stand_ins_2/stage_answers.cc
+++ b/review/stand_ins_2/stage_answers.cc
@@ -224,6 +224,7 @@
                 continue;
             }
             m_runs += 1;
+            m_record.add(concat({ m_id, " runs ", id, " with ", handle }));
             if (*owner != id) {
                 m_mixed += 1;
                 m_record.add(
@@ -259,7 +260,7 @@
 };
 
 // Sends requests, each after the answer to the one before.
-void runClient(unsigned number, std::uint16_t port, std::atomic<unsigned>& served)
+void runClient(unsigned number, std::uint16_t port, std::atomic<unsigned>& served, event_record& record)
 {
     const auto end = std::chrono::steady_clock::now() + runTime;
     std::unique_ptr<tcp_stream> connection;
@@ -276,7 +277,9 @@
             connection.reset();
             continue;
         }
+        record.add("client sent " + id);
         const auto answer = connection->receive(std::chrono::seconds(9));
+        record.add(concat({ "client got ", answer ? std::to_string(answer->status()) : "no answer", " for ", id }));
         if (!answer || answer->field("Connection") == "close")
             connection.reset();
         if (answer && answer->status() == 200)
@@ -307,7 +310,7 @@
         std::this_thread::sleep_for(std::chrono::seconds(1));
         std::vector<std::thread> threads;
         for (unsigned i = 1; i <= clients; ++i)
-            threads.emplace_back(runClient, i, gateway.port(), std::ref(served));
+            threads.emplace_back(runClient, i, gateway.port(), std::ref(served), std::ref(record));
         for (std::thread& thread : threads)
             thread.join();
     }
