--- a/review/stand_ins_2/crowd_memory.cc
+++ b/review/stand_ins_2/crowd_memory.cc
@@ -140,6 +140,8 @@
     record.add(
         concat({ std::to_string(senders), " clients have sent ", std::to_string(sentBytes), " bytes of a body of ",
             std::to_string(bodyBytes), "; peak of the process ", std::to_string(gateway.peakMb()), " MB" }));
+    if (ended)
+        recordUnanswered(crowd, record);
     return ended;
 }
 
