--- a/review/stand_ins_2/crowd_memory.cc
+++ b/review/stand_ins_2/crowd_memory.cc
@@ -1,6 +1,6 @@
-// A crowd of clients sends one request each, which waits at a slow server. CROWD=heads: with a head of nearly the legal
-// size. CROWD=bodies: a small one, and behind it, on the same connection, a part of a large body of legal size. The
-// platform ends a process that exceeds its memory.
+// A crowd of clients sends one request each, which waits or runs at a model server. CROWD=heads: with a head of nearly
+// the legal size. CROWD=bodies: a small one, and behind it, on the same connection, a part of a large body of legal
+// size. The platform ends a process that exceeds its memory.
 #include "support.h"
 
 #include <csignal>
@@ -27,6 +27,8 @@
 constexpr int machines = 2;
 constexpr int lives = 3;
 constexpr int servers = 12;
+constexpr unsigned promptTokens = 6500;
+constexpr unsigned eventsPerStream = 67; // 200 tokens, three in an event
 // Fewer than the servers have places for: 64 slots and a queue of 134 each.
 constexpr std::size_t clients = 2350;
 constexpr std::size_t bodyBytes = 4'000'000;
@@ -54,19 +56,20 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-// The parts of a prompt of 800 tokens, or of many parts of some tokens each.
+// The parts of a prompt of 6,500 tokens, two or many.
 std::string promptPrefix(bool isLong)
 {
-    std::string parts = "5c1e07a2:400";
-    for (unsigned i = 0; isLong && parts.size() < longPrefixBytes; ++i)
-        parts.append(",").append(std::to_string(10'000'000 + 7919 * i)).append(":5");
-    return parts + ",91bd3f06:400";
+    std::string parts;
+    unsigned tokens = 0;
+    for (unsigned i = 0; isLong && parts.size() < longPrefixBytes; ++i, tokens += 4)
+        parts.append(std::to_string(10'000'000 + 7919 * i)).append(":4,");
+    return parts + "91bd3f06:" + std::to_string(promptTokens - tokens);
 }
 
 std::string requestHead(const std::string& id, const std::string& prefix, std::size_t length)
 {
     return concat({ "POST /report/1 HTTP/1.1\r\nHost: report.example\r\nAttempt-Id: ", id,
-        "\r\nDeadline-Ms: 15000\r\nModel: m\r\nToken-Count: 8000,9\r\nPrompt-Prefix: ", prefix,
+        "\r\nDeadline-Ms: 15000\r\nModel: m\r\nToken-Count: 6500,200\r\nPrompt-Prefix: ", prefix,
         "\r\nContent-Length: ", std::to_string(length), "\r\n\r\n" });
 }
 
@@ -92,7 +95,7 @@
         char byte = 0;
         unanswered += client->read(&byte, 1, milliseconds(0)) <= 0 ? 1 : 0;
     }
-    record.add(std::to_string(unanswered) + " clients have got no answer");
+    record.add(std::to_string(unanswered) + " clients have got no byte of an answer");
 }
 
 // Returns whether the process ended.
@@ -145,15 +148,23 @@
     return ended;
 }
 
+unsigned begunStreams(const std::vector<std::unique_ptr<model_stand_in>>& models)
+{
+    unsigned begun = 0;
+    for (const auto& model : models)
+        begun += model->begun();
+    return begun;
+}
+
 int run(event_record& record)
 {
     raiseDescriptorLimit();
     crowdKind();
     store_stand_in store;
     store.put("keyed.op", "config", std::string(config));
-    std::vector<std::unique_ptr<slow_server>> models;
+    std::vector<std::unique_ptr<model_stand_in>> models;
     for (int i = 1; i <= servers; ++i) {
-        models.push_back(std::make_unique<slow_server>());
+        models.push_back(std::make_unique<model_stand_in>(promptTokens, eventsPerStream));
         store.put("keyed.servers", "i-model-" + std::to_string(i), serverEntry("model", models.back()->address(), 64));
     }
     int machinesEnded = 0;
@@ -161,9 +172,15 @@
         int ends = 0;
         for (int life = 1; life <= lives; ++life) {
             record.add(concat({ "machine ", std::to_string(number), ", process ", std::to_string(life) }));
-            gateway_process gateway(store.address(), machine);
-            std::this_thread::sleep_for(milliseconds(500));
-            ends += runCrowd(gateway, record) ? 1 : 0;
+            const unsigned begunBefore = begunStreams(models);
+            {
+                gateway_process gateway(store.address(), machine);
+                std::this_thread::sleep_for(milliseconds(500));
+                ends += runCrowd(gateway, record) ? 1 : 0;
+                record.add(std::to_string(begunStreams(models) - begunBefore) + " streams have begun");
+            }
+            for (const auto& model : models)
+                model->dropRequests();
         }
         machinesEnded += ends == lives ? 1 : 0;
     }
--- a/review/stand_ins_2/support.cc
+++ b/review/stand_ins_2/support.cc
@@ -333,24 +333,98 @@
     }
 }
 
-slow_server::slow_server()
+model_stand_in::model_stand_in(unsigned promptTokens, unsigned events)
     : m_listener(openListener(m_port))
+    , m_promptTokens(promptTokens)
+    , m_events(events)
     , m_acceptor([this] {
-        for (int accepted = 0; (accepted = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;)
-            m_connections.push_back(accepted);
+        for (int accepted = 0; (accepted = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;) {
+            const std::lock_guard lock(m_mutex);
+            m_waiting.push_back(accepted);
+        }
     })
+    , m_engine([this] { serve(); })
 {
 }
 
-slow_server::~slow_server()
+model_stand_in::~model_stand_in()
 {
+    m_stopping = true;
     shutdown(m_listener, SHUT_RDWR);
     m_acceptor.join();
+    m_engine.join();
     ::close(m_listener);
-    for (const int connection : m_connections)
+    for (const int connection : m_waiting)
         ::close(connection);
 }
 
+void model_stand_in::dropRequests()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const int connection : m_waiting)
+        ::close(connection);
+    m_waiting.clear();
+    m_dropping = true;
+}
+
+void model_stand_in::serve()
+{
+    constexpr double tokensPerMs = 51.1;
+    const auto prefill = std::chrono::microseconds(static_cast<std::int64_t>(1000 * m_promptTokens / tokensPerMs));
+    constexpr auto eventInterval = milliseconds(75);
+    auto nextBegin = steady::now() + prefill;
+    auto nextEvent = steady::now() + eventInterval;
+    while (!m_stopping) {
+        std::this_thread::sleep_until(std::min({ nextBegin, nextEvent, steady::now() + milliseconds(50) }));
+        const auto now = steady::now();
+        if (m_dropping.exchange(false))
+            m_runs.clear();
+        if (now >= nextBegin) {
+            beginNext();
+            nextBegin = now + prefill;
+        }
+        if (now >= nextEvent) {
+            sendEvents();
+            nextEvent = now + eventInterval;
+        }
+    }
+}
+
+void model_stand_in::beginNext()
+{
+    int connection = -1;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_waiting.empty())
+            return;
+        connection = m_waiting.front();
+        m_waiting.erase(m_waiting.begin());
+    }
+    auto stream = std::make_unique<tcp_stream>(connection);
+    const auto request = stream->receive(milliseconds(20));
+    if (!request)
+        return;
+    const std::string id = request->field("Attempt-Id");
+    if (!stream->send(concat({ "HTTP/1.1 200 OK\r\nAttempt-Id: ", id, "\r\nResponse-Signature: 3e1b.", id,
+            "\r\nContent-Type: text/event-stream\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n" })))
+        return;
+    m_begun += 1;
+    m_runs.push_back({ std::move(stream), 0 });
+}
+
+void model_stand_in::sendEvents()
+{
+    std::erase_if(m_runs, [this](run& item) {
+        item.events += 1;
+        const std::string event = concat({ "id: ", std::to_string(item.events), "\ndata: text\n\n" });
+        std::array<char, 16> size {};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
+        const bool last = item.events >= m_events;
+        const bool sent = item.stream->send(concat({ size.data(), event, "\r\n", last ? "0\r\n\r\n" : "" }));
+        return last || !sent;
+    });
+}
+
 store_stand_in::store_stand_in()
     : m_service(std::make_unique<tcp_service>([this](tcp_stream& stream) { serve(stream); }))
 {
--- a/review/stand_ins_2/support.h
+++ b/review/stand_ins_2/support.h
@@ -120,21 +120,45 @@
     std::thread m_acceptor;
 };
 
-// A server that accepts connections and does not answer in the time of a case. Needs no threads for them.
-class slow_server {
+// A model server at the speed of the platform's sheet, in a single thread: reads the prompts of its requests one after
+// the other at 51.1 tokens a ms, and makes an event of each stream every 75 ms, which is three steps of 5 ms that each
+// read 1,024 tokens of other prompts besides. Serves one request on a connection.
+class model_stand_in {
 public:
-    slow_server();
-    ~slow_server();
-    slow_server(const slow_server&) = delete;
-    slow_server& operator=(const slow_server&) = delete;
+    // All requests have prompts of this many tokens and as many events.
+    model_stand_in(unsigned promptTokens, unsigned events);
+    ~model_stand_in();
+    model_stand_in(const model_stand_in&) = delete;
+    model_stand_in& operator=(const model_stand_in&) = delete;
 
     std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    // Streams that have begun.
+    unsigned begun() const { return m_begun; }
+    // Drops all requests, as their gateway has ended.
+    void dropRequests();
 
 private:
+    struct run {
+        std::unique_ptr<tcp_stream> stream;
+        unsigned events = 0;
+    };
+
+    void serve();
+    void beginNext();
+    void sendEvents();
+
     std::uint16_t m_port = 0;
     int m_listener;
-    std::vector<int> m_connections;
+    unsigned m_promptTokens;
+    unsigned m_events;
+    std::mutex m_mutex;
+    std::vector<int> m_waiting; // connections with a request, oldest first
+    std::vector<run> m_runs;
+    std::atomic<bool> m_dropping = false;
+    std::atomic<unsigned> m_begun = 0;
+    std::atomic<bool> m_stopping = false;
     std::thread m_acceptor;
+    std::thread m_engine;
 };
 
 // The platform's store: keyed topics of one partition, and one group.
